--- /dev/null
+++ b/src/codec/archive.h
@@ -0,0 +1,229 @@
+/// Archives for Boost.Serialization in a compact, portable form: one value to bytes and back.
+///
+/// Boost's own binary archives depend on the machine's integer sizes and trust every length that
+/// they read: a flipped bit makes them fill gigabytes before they fail. These archives follow the same
+/// Archive concept (Boost.Serialization, "Archive Concepts"), so the model types' serialize functions
+/// serve unchanged, but integers are LEB128 of any size and each length is checked against the
+/// octets that are left.
+#pragma once
+
+#include <boost/mpl/bool.hpp>
+#include <boost/serialization/serialization.hpp>
+#include <bit>
+#include <cstring>
+#include <limits>
+#include <optional>
+#include <string>
+#include <type_traits>
+#include <vector>
+
+#include "model/bytes.h"
+
+namespace gorsevalve {
+
+namespace archive_internal {
+template <typename T>
+struct IsVector : std::false_type {};
+template <typename T>
+struct IsVector<std::vector<T>> : std::true_type {};
+template <typename T>
+struct IsOptional : std::false_type {};
+template <typename T>
+struct IsOptional<std::optional<T>> : std::true_type {};
+
+/// Signed to unsigned so that small magnitudes stay small.
+constexpr std::uint64_t zigzag(std::int64_t value) {
+  return (static_cast<std::uint64_t>(value) << 1U) ^ static_cast<std::uint64_t>(value >> 63);
+}
+constexpr std::int64_t unzigzag(std::uint64_t value) {
+  return static_cast<std::int64_t>(value >> 1U) ^ -static_cast<std::int64_t>(value & 1U);
+}
+}  // namespace archive_internal
+
+/// Saving archive that appends to a byte sequence.
+class ArchiveWriter {
+ public:
+  using is_saving = boost::mpl::bool_<true>;    // NOLINT: names fixed by the Archive concept
+  using is_loading = boost::mpl::bool_<false>;  // NOLINT
+
+  explicit ArchiveWriter(Bytes& out) : out_(out) {}
+
+  template <typename T>
+  ArchiveWriter& operator<<(const T& value) {
+    save(value);
+    return *this;
+  }
+  template <typename T>
+  ArchiveWriter& operator&(const T& value) {
+    return *this << value;
+  }
+
+ private:
+  template <typename T>
+  void save(const T& value) {
+    if constexpr (std::is_integral_v<T> && sizeof(T) == 1) {
+      out_.push_back(static_cast<std::uint8_t>(value));
+    } else if constexpr (std::is_enum_v<T>) {
+      save(static_cast<std::underlying_type_t<T>>(value));
+    } else if constexpr (std::is_unsigned_v<T>) {
+      save_varint(value);
+    } else if constexpr (std::is_integral_v<T>) {
+      save_varint(archive_internal::zigzag(value));
+    } else if constexpr (std::is_floating_point_v<T>) {
+      save_varint(std::bit_cast<std::uint64_t>(static_cast<double>(value)));
+    } else if constexpr (std::is_same_v<T, std::string> || std::is_same_v<T, Bytes>) {
+      save_varint(value.size());
+      out_.insert(out_.end(), value.begin(), value.end());
+    } else if constexpr (archive_internal::IsVector<T>::value) {
+      save_varint(value.size());
+      for (const auto& element : value) {
+        save(element);
+      }
+    } else if constexpr (archive_internal::IsOptional<T>::value) {
+      save(value.has_value());
+      if (value) {
+        save(*value);
+      }
+    } else {
+      boost::serialization::serialize_adl(*this, const_cast<T&>(value), 0U);
+    }
+  }
+
+  void save_varint(std::uint64_t value) {
+    while (value >= 0x80U) {
+      out_.push_back(static_cast<std::uint8_t>(value | 0x80U));
+      value >>= 7U;
+    }
+    out_.push_back(static_cast<std::uint8_t>(value));
+  }
+
+  Bytes& out_;
+};
+
+/// Loading archive over a byte sequence. After a malformed input `failed` is true, and every later
+/// value is left as it was.
+class ArchiveReader {
+ public:
+  using is_saving = boost::mpl::bool_<false>;  // NOLINT: names fixed by the Archive concept
+  using is_loading = boost::mpl::bool_<true>;  // NOLINT
+
+  explicit ArchiveReader(ByteView bytes) : rest_(bytes) {}
+
+  template <typename T>
+  ArchiveReader& operator>>(T& value) {
+    if (!failed_) {
+      load(value);
+    }
+    return *this;
+  }
+  template <typename T>
+  ArchiveReader& operator&(T& value) {
+    return *this >> value;
+  }
+
+  [[nodiscard]] bool failed() const { return failed_; }
+  [[nodiscard]] bool at_end() const { return rest_.empty(); }
+
+ private:
+  template <typename T>
+  void load(T& value) {
+    if constexpr (std::is_integral_v<T> && sizeof(T) == 1) {
+      value = static_cast<T>(load_octet());
+    } else if constexpr (std::is_enum_v<T>) {
+      std::underlying_type_t<T> raw{};
+      load(raw);
+      value = static_cast<T>(raw);
+    } else if constexpr (std::is_unsigned_v<T>) {
+      value = static_cast<T>(load_varint(std::numeric_limits<T>::max()));
+    } else if constexpr (std::is_integral_v<T>) {
+      value = static_cast<T>(archive_internal::unzigzag(load_varint(~std::uint64_t{0})));
+    } else if constexpr (std::is_floating_point_v<T>) {
+      value = static_cast<T>(std::bit_cast<double>(load_varint(~std::uint64_t{0})));
+    } else if constexpr (std::is_same_v<T, std::string> || std::is_same_v<T, Bytes>) {
+      const std::size_t size = load_length();
+      value.assign(rest_.begin(), rest_.begin() + static_cast<std::ptrdiff_t>(size));
+      rest_ = rest_.subspan(size);
+    } else if constexpr (archive_internal::IsVector<T>::value) {
+      load_vector(value);
+    } else if constexpr (archive_internal::IsOptional<T>::value) {
+      bool present = false;
+      load(present);
+      value.reset();
+      if (present && !failed_) {
+        *this >> value.emplace();
+      }
+    } else {
+      boost::serialization::serialize_adl(*this, value, 0U);
+    }
+  }
+
+  template <typename T>
+  void load_vector(std::vector<T>& value) {
+    // Each element takes at least one octet, so the length bounds the work and the memory.
+    const std::size_t size = load_length();
+    value.clear();
+    for (std::size_t i = 0; i < size && !failed_; ++i) {
+      *this >> value.emplace_back();
+    }
+  }
+
+  std::uint8_t load_octet() {
+    if (rest_.empty()) {
+      failed_ = true;
+      return 0;
+    }
+    const std::uint8_t octet = rest_.front();
+    rest_ = rest_.subspan(1);
+    return octet;
+  }
+
+  std::uint64_t load_varint(std::uint64_t maximum) {
+    std::uint64_t value = 0;
+    for (unsigned shift = 0; shift < 64; shift += 7) {
+      const std::uint8_t octet = load_octet();
+      value |= std::uint64_t{octet & 0x7FU} << shift;
+      if ((octet & 0x80U) == 0) {
+        failed_ = failed_ || value > maximum;
+        return failed_ ? 0 : value;
+      }
+    }
+    failed_ = true;
+    return 0;
+  }
+
+  /// A length that is not more than the octets that are left; 0 after a failure.
+  std::size_t load_length() {
+    const std::uint64_t size = load_varint(~std::uint64_t{0});
+    if (size > rest_.size()) {
+      failed_ = true;
+      return 0;
+    }
+    return size;
+  }
+
+  ByteView rest_;
+  bool failed_ = false;
+};
+
+/// Encodes one value.
+template <typename Value>
+Bytes encode_archive(const Value& value) {
+  Bytes out;
+  ArchiveWriter writer(out);
+  writer << value;
+  return out;
+}
+
+/// Decodes one value. Returns nothing when the bytes are malformed, end early, or are left over.
+template <typename Value>
+std::optional<Value> decode_archive(ByteView bytes) {
+  ArchiveReader reader(bytes);
+  std::optional<Value> value(std::in_place);
+  reader >> *value;
+  if (reader.failed() || !reader.at_end()) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+}  // namespace gorsevalve
--- /dev/null
+++ b/src/codec/coap.h
@@ -0,0 +1,168 @@
+/// CoAP messages (RFC 7252, with Observe of RFC 7641 and Block-wise of RFC 7959) as the balancer and
+/// the stand-ins see them. Parsing and option encoding are libcoap's; the fixed four-octet header,
+/// for which libcoap exports no encoder, is written here.
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "model/bytes.h"
+#include "model/verdict.h"
+
+namespace gorsevalve {
+
+/// Largest CoAP message that the system accepts, in octets.
+constexpr std::size_t kMaxCoapSize = 1280;
+
+enum class CoapType : std::uint8_t {
+  kConfirmable = 0,
+  kNonConfirmable = 1,
+  kAcknowledgement = 2,
+  kReset = 3,
+};
+
+/// Codes that the system names itself (RFC 7252 section 12.1).
+namespace coap_code {
+constexpr std::uint8_t kEmpty = 0x00;
+constexpr std::uint8_t kGet = 0x01;
+constexpr std::uint8_t kPost = 0x02;
+constexpr std::uint8_t kPut = 0x03;
+constexpr std::uint8_t kDelete = 0x04;
+constexpr std::uint8_t kFetch = 0x05;
+constexpr std::uint8_t kPatch = 0x06;
+constexpr std::uint8_t kIpatch = 0x07;
+constexpr std::uint8_t kLastMethod = 0x1F;
+constexpr std::uint8_t kChanged = 0x44;
+constexpr std::uint8_t kContent = 0x45;
+constexpr std::uint8_t kNotFound = 0x84;
+constexpr std::uint8_t kServiceUnavailable = 0xA3;
+constexpr std::uint8_t kGatewayTimeout = 0xA4;
+}  // namespace coap_code
+
+/// Token of up to eight octets, kept inline.
+struct Token {
+  std::array<std::uint8_t, 8> octets{};
+  std::uint8_t length = 0;
+
+  friend auto operator<=>(const Token&, const Token&) = default;
+
+  template <class Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    for (auto& octet : octets) {
+      archive & octet;
+    }
+    archive & length;
+  }
+};
+
+template <typename Hasher>
+Hasher AbslHashValue(Hasher state, const Token& token) {  // NOLINT: name fixed by Abseil
+  return Hasher::combine(std::move(state), token.octets, token.length);
+}
+
+/// Block number, more flag and size exponent of a Block1 or Block2 option (RFC 7959 section 2.2).
+struct Block {
+  std::uint32_t number = 0;
+  bool more = false;
+  std::uint8_t size_exponent = 0;
+};
+
+/// The parts of a message that decisions depend on. Refers to no external memory.
+struct CoapSummary {
+  CoapType type = CoapType::kConfirmable;
+  std::uint8_t code = 0;
+  std::uint16_t message_id = 0;
+  Token token;
+  /// Observe value; in requests 0 registers and 1 deregisters.
+  std::optional<std::uint32_t> observe;
+  std::optional<Block> block1;
+  std::optional<Block> block2;
+  /// Max-Age in seconds.
+  std::optional<std::uint32_t> max_age;
+  /// Hash of the Uri-Path, as coap_path_hash gives it for the same path.
+  std::uint64_t path_hash = 0;
+
+  [[nodiscard]] bool is_request() const {
+    return code != coap_code::kEmpty && code <= coap_code::kLastMethod;
+  }
+  [[nodiscard]] bool is_response() const { return code >= 0x40; }
+};
+
+/// Observe values count modulo 2^24 (RFC 7641 section 2).
+constexpr std::uint32_t kObserveMask = (1U << 24U) - 1;
+
+/// True when Observe value `next` is fresher than `last` by sequence number (RFC 7641 section 3.4;
+/// the time rule is left to the caller).
+bool observe_is_fresher(std::uint32_t last, std::uint32_t next);
+
+/// Hash of a path such as "/a/b" for comparison with CoapSummary::path_hash.
+std::uint64_t coap_path_hash(std::string_view path);
+
+/// Parses a message. Reuses one buffer, so that it does not allocate after construction.
+class CoapParser {
+ public:
+  CoapParser();
+  ~CoapParser();
+  CoapParser(const CoapParser&) = delete;
+  CoapParser& operator=(const CoapParser&) = delete;
+
+  /// Returns nothing when the message is malformed, larger than kMaxCoapSize, or of a reserved class.
+  std::optional<CoapSummary> parse(ByteView message);
+
+  /// Payload of the last message that was parsed. Valid until the next call of parse.
+  [[nodiscard]] ByteView payload() const;
+
+  /// Uri-Query options of the last message that was parsed.
+  [[nodiscard]] std::vector<std::string> queries() const;
+
+  /// Uri-Path of the last message that was parsed, as "/a/b".
+  [[nodiscard]] std::string path() const;
+
+ private:
+  struct State;
+  State* state_;
+};
+
+/// A message to be built. Options are encoded in the order of their numbers.
+struct CoapMessage {
+  CoapType type = CoapType::kConfirmable;
+  std::uint8_t code = 0;
+  std::uint16_t message_id = 0;
+  Token token;
+  std::optional<std::uint32_t> observe;
+  std::vector<std::string> path;
+  std::optional<std::uint32_t> max_age;
+  std::vector<std::string> queries;
+  std::optional<Block> block2;
+  Bytes payload;
+};
+
+/// Encodes a message.
+Bytes encode_coap(const CoapMessage& message);
+
+/// Overwrites the message id in place. The message must hold at least the four-octet header.
+void set_coap_message_id(std::span<std::uint8_t> message, std::uint16_t message_id);
+
+/// Overwrites the message type in place. The message must hold at least one octet.
+void set_coap_type(std::span<std::uint8_t> message, CoapType type);
+
+/// Overwrites the value of the Observe option in place with a three-octet value. Returns the new size
+/// of the message, which may be up to three octets larger; 0 when `size` octets hold no Observe
+/// option or `buffer` has no room.
+std::size_t set_coap_observe(std::span<std::uint8_t> buffer, std::size_t size,
+                             std::uint32_t value);
+
+/// The answer that tells a caller of a verdict: 5.03 with Max-Age for "not run", 5.04 with Max-Age
+/// for "may have run"; piggybacked when the request was confirmable.
+Bytes encode_verdict(const Verdict& verdict, CoapType request_type, std::uint16_t message_id,
+                     const Token& token);
+
+/// An empty message (acknowledgement or reset) for a message id.
+Bytes encode_empty(CoapType type, std::uint16_t message_id);
+
+}  // namespace gorsevalve
--- /dev/null
+++ b/src/codec/envelope.cc
@@ -0,0 +1,230 @@
+#include "codec/envelope.h"
+
+#include <openssl/crypto.h>
+#include <openssl/hmac.h>
+#include <sys/stat.h>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cstring>
+#include <fstream>
+#include <utility>
+
+#include "codec/archive.h"
+
+namespace gorsevalve {
+namespace {
+
+constexpr std::array<std::uint8_t, 3> kMagic = {'G', 'V', 'M'};
+constexpr std::uint8_t kVersion = 1;
+constexpr std::size_t kHeaderSize = 36;
+constexpr std::size_t kCodeSize = 16;
+constexpr std::size_t kMinKeySize = 16;
+
+using Code = std::array<std::uint8_t, kCodeSize>;
+
+Code authentication_code(const std::string& key, ByteView bytes) {
+  std::array<std::uint8_t, EVP_MAX_MD_SIZE> digest{};
+  unsigned size = 0;
+  HMAC(EVP_sha256(), key.data(), static_cast<int>(key.size()), bytes.data(), bytes.size(),
+       digest.data(), &size);
+  Code code{};
+  std::copy_n(digest.begin(), kCodeSize, code.begin());
+  return code;
+}
+
+void put(Bytes& out, std::uint64_t value, std::size_t size) {
+  for (std::size_t i = size; i > 0; --i) {
+    out.push_back(static_cast<std::uint8_t>(value >> (8U * (i - 1))));
+  }
+}
+
+std::uint64_t get(ByteView bytes, std::size_t offset, std::size_t size) {
+  std::uint64_t value = 0;
+  for (std::size_t i = 0; i < size; ++i) {
+    value = (value << 8U) | bytes[offset + i];
+  }
+  return value;
+}
+
+/// Encodes the alternative that a variant holds.
+template <typename Variant>
+Bytes encode_alternative(const Variant& message) {
+  return std::visit([](const auto& body) { return encode_archive(body); }, message);
+}
+
+/// Decodes the alternative with the given index.
+template <typename Variant, std::size_t kIndex = 0>
+std::optional<Variant> decode_alternative(std::size_t type, ByteView body) {
+  if constexpr (kIndex < std::variant_size_v<Variant>) {
+    if (type != kIndex) {
+      return decode_alternative<Variant, kIndex + 1>(type, body);
+    }
+    auto value = decode_archive<std::variant_alternative_t<kIndex, Variant>>(body);
+    return value ? std::optional<Variant>(std::move(*value)) : std::nullopt;
+  } else {
+    return std::nullopt;
+  }
+}
+
+/// A replica message's sender and term, 8 octets each, go before its body.
+std::optional<ReplicaMessage> decode_replica(std::size_t type, ByteView body) {
+  constexpr std::size_t kPrefixSize = 16;
+  if (body.size() < kPrefixSize) {
+    return std::nullopt;
+  }
+  auto decoded =
+      decode_alternative<decltype(ReplicaMessage::body)>(type, body.subspan(kPrefixSize));
+  if (!decoded) {
+    return std::nullopt;
+  }
+  return ReplicaMessage{get(body, 0, 8), get(body, 8, 8), std::move(*decoded)};
+}
+
+}  // namespace
+
+tl::expected<ClusterKeys, std::string> read_key_file(const std::string& path) {
+  struct stat status {};
+  if (::stat(path.c_str(), &status) != 0) {
+    return tl::unexpected(path + ": cannot be read: " + std::strerror(errno));
+  }
+  if ((status.st_mode & (S_IRWXG | S_IRWXO)) != 0) {
+    return tl::unexpected(path + ": others than the owner may read it (mode must be 0600)");
+  }
+  ClusterKeys keys;
+  std::ifstream file(path);
+  std::string line;
+  for (int number = 1; std::getline(file, line); ++number) {
+    if (line.empty()) {
+      continue;
+    }
+    if (line.size() < kMinKeySize) {
+      return tl::unexpected(path + ":" + std::to_string(number) +
+                            ": a key needs at least 16 characters");
+    }
+    keys.keys.push_back(line);
+  }
+  if (keys.keys.empty()) {
+    return tl::unexpected(path + ": holds no key");
+  }
+  return keys;
+}
+
+bool Envelope::ReplayWindow::accept(std::uint64_t sequence) {
+  if (sequence > highest) {
+    const std::uint64_t steps = std::min<std::uint64_t>(sequence - highest, kSize);
+    for (std::uint64_t i = 0; i < steps; ++i) {
+      seen.reset((sequence - i) % kSize);
+    }
+    highest = sequence;
+  } else if (highest - sequence >= kSize || seen.test(sequence % kSize)) {
+    return false;
+  }
+  seen.set(sequence % kSize);
+  return true;
+}
+
+Envelope::Envelope(std::string cluster, ClusterKeys keys, Endpoint self, std::uint64_t incarnation)
+    : cluster_(XXH3_64bits(cluster.data(), cluster.size())),
+      keys_(std::move(keys)),
+      self_(self),
+      incarnation_(incarnation) {}
+
+bool Envelope::looks_sealed(ByteView datagram) {
+  return datagram.size() >= kHeaderSize + kCodeSize &&
+         std::equal(kMagic.begin(), kMagic.end(), datagram.begin());
+}
+
+Bytes Envelope::seal_body(MessageKind kind, std::uint8_t type, ByteView body) {
+  Bytes out;
+  out.reserve(kHeaderSize + body.size() + kCodeSize);
+  out.assign(kMagic.begin(), kMagic.end());
+  out.push_back(kVersion);
+  out.push_back(static_cast<std::uint8_t>(kind));
+  out.push_back(type);
+  put(out, self_.address, 4);
+  put(out, self_.port, 2);
+  put(out, incarnation_, 8);
+  put(out, ++sequence_, 8);
+  put(out, cluster_, 8);
+  out.insert(out.end(), body.begin(), body.end());
+  const Code code = authentication_code(keys_.keys.front(), out);
+  out.insert(out.end(), code.begin(), code.end());
+  return out;
+}
+
+Bytes Envelope::seal(const PeerMessage& message) {
+  return seal_body(MessageKind::kPeer, static_cast<std::uint8_t>(message.index()),
+                   encode_alternative(message));
+}
+
+Bytes Envelope::seal(const NodeMessage& message) {
+  return seal_body(MessageKind::kNode, static_cast<std::uint8_t>(message.index()),
+                   encode_alternative(message));
+}
+
+Bytes Envelope::seal(const ReplicaMessage& message) {
+  Bytes body;
+  put(body, message.from, 8);
+  put(body, message.term, 8);
+  const Bytes rest = encode_alternative(message.body);
+  body.insert(body.end(), rest.begin(), rest.end());
+  return seal_body(MessageKind::kReplica, static_cast<std::uint8_t>(message.body.index()), body);
+}
+
+bool Envelope::has_valid_code(ByteView sealed) const {
+  const ByteView signed_part = sealed.first(sealed.size() - kCodeSize);
+  const ByteView code = sealed.last(kCodeSize);
+  return std::any_of(keys_.keys.begin(), keys_.keys.end(), [&](const std::string& key) {
+    const Code expected = authentication_code(key, signed_part);
+    return CRYPTO_memcmp(expected.data(), code.data(), kCodeSize) == 0;
+  });
+}
+
+tl::expected<OpenedMessage, EnvelopeError> Envelope::open(ByteView sealed) {
+  if (!looks_sealed(sealed) || sealed.size() > kMaxEnvelopeSize) {
+    return tl::unexpected(EnvelopeError::kMalformed);
+  }
+  if (sealed[3] != kVersion) {
+    return tl::unexpected(EnvelopeError::kVersion);
+  }
+  if (get(sealed, 28, 8) != cluster_) {
+    return tl::unexpected(EnvelopeError::kForeignCluster);
+  }
+  if (!has_valid_code(sealed)) {
+    return tl::unexpected(EnvelopeError::kForged);
+  }
+  OpenedMessage opened;
+  opened.kind = static_cast<MessageKind>(sealed[4]);
+  opened.sender = {static_cast<std::uint32_t>(get(sealed, 6, 4)),
+                   static_cast<std::uint16_t>(get(sealed, 10, 2))};
+  Sender& sender = senders_[opened.sender];
+  const std::uint64_t incarnation = get(sealed, 12, 8);
+  if (sender.incarnation != incarnation) {
+    sender = Sender{incarnation, {}};
+  }
+  if (!sender.window.accept(get(sealed, 20, 8))) {
+    return tl::unexpected(EnvelopeError::kReplayed);
+  }
+  const ByteView body = sealed.subspan(kHeaderSize, sealed.size() - kHeaderSize - kCodeSize);
+  const auto keep = [&](auto decoded) {
+    if (decoded) {
+      opened.message = std::move(*decoded);
+    }
+    return decoded.has_value();
+  };
+  bool decoded = false;
+  if (opened.kind == MessageKind::kPeer) {
+    decoded = keep(decode_alternative<PeerMessage>(sealed[5], body));
+  } else if (opened.kind == MessageKind::kReplica) {
+    decoded = keep(decode_replica(sealed[5], body));
+  } else if (opened.kind == MessageKind::kNode) {
+    decoded = keep(decode_alternative<NodeMessage>(sealed[5], body));
+  }
+  if (!decoded) {
+    return tl::unexpected(EnvelopeError::kMalformed);
+  }
+  return opened;
+}
+
+}  // namespace gorsevalve
--- /dev/null
+++ b/src/core/balancer/answer_path.cc
@@ -0,0 +1,229 @@
+#include "core/balancer/answer_path.h"
+
+#include <algorithm>
+
+#include "core/balancer/timing.h"
+
+namespace gorsevalve {
+namespace {
+
+constexpr std::uint8_t kMaxRetries = 1;
+
+}  // namespace
+
+void AnswerPath::on_answer(Partition& partition, const TargetMessage& answer, Instant now) {
+  RequestRecord* record = partition.store.find_request(*answer.header.request_id);
+  if (record == nullptr) {
+    on_unmatched(partition, answer, now);
+    return;
+  }
+  const bool empty = answer.summary.code == coap_code::kEmpty;
+  const bool matches = record->flow == answer.header.flow && record->target == answer.target &&
+                       (empty || record->token == answer.summary.token);
+  if (!matches || record->is_waiting() || record->state == RequestState::kGivenUp) {
+    ++state_.counters().answers_unmatched;
+    return;
+  }
+  ++state_.counters().answers;
+  actions_.binding().touch(partition, record->flow, now);
+  if (empty) {
+    // The target's acknowledgement before a separate response (RFC 7252 section 5.2.2).
+    state_.output().send_to_caller(record->flow, answer.message);
+    return;
+  }
+  if (record->kind == RequestKind::kFeed && answer.summary.observe) {
+    on_notification(partition, *record, answer, now);
+  } else {
+    on_final(partition, *record, answer, now);
+  }
+}
+
+void AnswerPath::on_unmatched(Partition& partition, const TargetMessage& answer, Instant now) {
+  const bool own_id =
+      answer.header.request_id->incarnation == state_.config().self.incarnation;
+  const bool newer_request =
+      partition.store.find_token(answer.header.flow, answer.summary.token) != nullptr;
+  const ServiceView* service = state_.view()->service(answer.header.flow.service);
+  const bool known_target = state_.view()->target(*service, answer.target) != nullptr;
+  if (own_id || newer_request || !known_target || !answer.summary.is_response()) {
+    ++state_.counters().answers_unmatched;
+    return;
+  }
+  // An answer to a request of a lost owner. Its target names the flow, so the binding is learned
+  // from it; a notification reopens the feed.
+  FlowRecord* flow = actions_.binding().touch(partition, answer.header.flow, now);
+  if (flow == nullptr) {
+    actions_.binding().bind(partition, answer.header.flow, answer.target, now);
+  }
+  RequestRecord* record = partition.store.new_request();
+  record->flow = answer.header.flow;
+  record->id = *answer.header.request_id;
+  record->token = answer.summary.token;
+  record->message_id = answer.summary.message_id;
+  record->target = answer.target;
+  record->state = RequestState::kAnswered;
+  if (!answer.summary.observe) {
+    forward(partition, *record, answer, std::nullopt);
+    partition.store.index(record);
+    partition.store.erase_request(record);
+    return;
+  }
+  record->kind = RequestKind::kFeed;
+  record->feed.last_in = (*answer.summary.observe - 1) & kObserveMask;
+  record->feed.last_out = record->feed.last_in;
+  partition.store.index(record);
+  ++partition.store.find_flow(record->flow)->feeds;
+  ++state_.counters().feeds_relearned;
+  on_notification(partition, *record, answer, now);
+}
+
+void AnswerPath::open_feed(Partition& partition, RequestRecord& record, Instant now) {
+  actions_.leave_target(record);
+  record.state = RequestState::kAnswered;
+  ++record.version;
+  if (FlowRecord* flow = partition.store.find_flow(record.flow)) {
+    ++flow->feeds;
+    partition.unconfirmed.pins.insert(record.flow);
+  }
+  actions_.replicator().mark_changed(partition, record);
+  state_.board().on_answer(record.target, false, now);
+  chain_.drain_queue(record.target, now);
+}
+
+void AnswerPath::on_notification(Partition& partition, RequestRecord& record,
+                                 const TargetMessage& answer, Instant now) {
+  FeedState& feed = record.feed;
+  const std::uint32_t value = *answer.summary.observe;
+  const bool first = record.state == RequestState::kDispatched;
+  const bool is_reply = answer.summary.type == CoapType::kAcknowledgement;
+  if (first) {
+    open_feed(partition, record, now);
+  } else if (feed.moved) {
+    feed.offset = (feed.last_out + 1 - value) & kObserveMask;
+  } else if (!observe_is_fresher(feed.last_in, value) && !is_reply) {
+    return;
+  }
+  feed.moved = false;
+  if (first || observe_is_fresher(feed.last_in, value) || feed.offset != 0) {
+    feed.last_in = value;
+  }
+  const std::uint32_t out = (value + feed.offset) & kObserveMask;
+  feed.last_out = first || observe_is_fresher(feed.last_out, out) ? out : feed.last_out;
+  state_.set_deadline(partition.id, record, now + timing::kFeedIdle);
+  const std::uint16_t id_out = forward(partition, record, answer, out);
+  partition.store.note_notification(&record, id_out, answer.summary.message_id);
+}
+
+void AnswerPath::close_feed(Partition& partition, RequestRecord& record) {
+  FlowRecord* flow = partition.store.find_flow(record.flow);
+  if (record.kind == RequestKind::kFeed && record.state == RequestState::kAnswered &&
+      flow != nullptr && flow->feeds > 0) {
+    --flow->feeds;
+  }
+}
+
+bool AnswerPath::retry_elsewhere(Partition& partition, RequestRecord& record, Instant now) {
+  const ServiceView* service = state_.view()->service(record.flow.service);
+  const bool may_retry = record.kind != RequestKind::kOnceOnly && !record.continuation &&
+                         record.retries < kMaxRetries && !record.request.empty() &&
+                         record.state == RequestState::kDispatched && service != nullptr;
+  if (!may_retry) {
+    return false;
+  }
+  const Target* target = actions_.place(*service, record.flow, now, record.target);
+  const bool has_room = target != nullptr && state_.board().has_room(target->address);
+  if (!has_room || !state_.retry_budget().take()) {
+    return false;
+  }
+  actions_.leave_target(record);
+  record.state = RequestState::kQueued;
+  partition.store.change_id(&record, state_.next_request_id());
+  record.target = target->address;
+  ++record.retries;
+  actions_.binding().bind(partition, record.flow, target->address, now);
+  state_.set_deadline(partition.id, record, record.deadline);
+  ++state_.counters().requests_retried;
+  actions_.dispatch(partition, record, record.request, now);
+  return true;
+}
+
+void AnswerPath::on_final(Partition& partition, RequestRecord& record, const TargetMessage& answer,
+                          Instant now) {
+  const bool refused = answer.summary.code == coap_code::kServiceUnavailable;
+  const Endpoint target = record.target;
+  if (record.state == RequestState::kDispatched) {
+    state_.board().on_answer(target, refused, now);
+  }
+  if (refused && retry_elsewhere(partition, record, now)) {
+    return;
+  }
+  if (record.kind == RequestKind::kOnceOnly && record.state == RequestState::kAnswered) {
+    // A copy of the answer that the caller already has.
+    forward(partition, record, answer, std::nullopt);
+    return;
+  }
+  forward(partition, record, answer, std::nullopt);
+  actions_.leave_target(record);
+  if (record.kind == RequestKind::kOnceOnly) {
+    record.state = RequestState::kAnswered;
+    record.answer.assign(answer.message.begin(), answer.message.end());
+    record.request.clear();
+    ++record.version;
+    actions_.replicator().mark_changed(partition, record);
+    state_.set_deadline(partition.id, record, now + timing::kExchangeLifetime);
+  } else {
+    close_feed(partition, record);
+    record.state = RequestState::kAnswered;
+    actions_.forget(partition, record);
+  }
+  chain_.drain_queue(target, now);
+}
+
+std::uint16_t AnswerPath::forward(Partition& partition, const RequestRecord& record,
+                                  const TargetMessage& answer,
+                                  std::optional<std::uint32_t> observe) {
+  std::size_t size = answer.message.size();
+  std::copy(answer.message.begin(), answer.message.end(), buffer_.begin());
+  const std::span<std::uint8_t> message(buffer_);
+  std::uint16_t message_id = answer.summary.message_id;
+  const bool piggybacked = answer.summary.type == CoapType::kAcknowledgement;
+  // A reply to a registration that this balancer made itself answers no message of the caller.
+  const bool foreign_reply = piggybacked && message_id != record.message_id;
+  FlowRecord* flow = partition.store.find_flow(record.flow);
+  if ((!piggybacked || foreign_reply) && flow != nullptr) {
+    message_id = flow->next_message_id++;
+    set_coap_message_id(message, message_id);
+    if (foreign_reply) {
+      set_coap_type(message, CoapType::kNonConfirmable);
+    }
+  }
+  if (observe && *observe != *answer.summary.observe) {
+    const std::size_t new_size = set_coap_observe(message, size, *observe);
+    size = new_size == 0 ? size : new_size;
+  }
+  state_.output().send_to_caller(record.flow, ByteView(buffer_.data(), size));
+  return message_id;
+}
+
+void AnswerPath::on_caller_empty(Partition& partition, const FlowKey& flow,
+                                 const CoapSummary& summary, Instant now) {
+  RequestRecord* record = partition.store.find_notification(flow, summary.message_id);
+  if (record == nullptr) {
+    return;
+  }
+  actions_.binding().touch(partition, flow, now);
+  ProxyHeader header;
+  header.flow = flow;
+  header.request_id = record->id;
+  const ServiceView* service = state_.view()->service(flow.service);
+  if (state_.view()->target(*service, record->target) != nullptr) {
+    state_.output().send_to_target(record->target, header,
+                                   encode_empty(summary.type, record->feed.message_id_in));
+  }
+  if (summary.type == CoapType::kReset) {
+    close_feed(partition, *record);
+    actions_.forget(partition, *record);
+  }
+}
+
+}  // namespace gorsevalve
--- /dev/null
+++ b/src/core/balancer/balancer.cc
@@ -0,0 +1,369 @@
+#include "core/balancer/balancer.h"
+
+#include <algorithm>
+#include <vector>
+
+#include "core/balancer/timing.h"
+
+namespace gorsevalve {
+namespace {
+
+/// Pause between two steps of the sweep for idle flows and unused copies.
+constexpr Duration kSweepInterval = std::chrono::milliseconds(200);
+
+}  // namespace
+
+Balancer::Balancer(BalancerConfig config, BalancerOutput& output)
+    : state_(std::move(config), output),
+      counters_(state_.counters()),
+      board_(state_.board()),
+      binding_(state_),
+      replicator_(state_, *this),
+      backups_(state_),
+      handover_(state_, binding_, replicator_, *this),
+      actions_(state_, binding_, replicator_),
+      chain_(state_, actions_),
+      answers_(state_, actions_, chain_) {}
+
+void Balancer::on_datagram(ByteView datagram, Instant now) {
+  ++counters_.datagrams_in;
+  const std::optional<ProxyDatagram> decoded = decode_proxy_datagram(datagram);
+  if (!decoded || (decoded->header.target && !decoded->header.request_id)) {
+    ++counters_.datagrams_malformed;
+    return;
+  }
+  route(decoded->header, decoded->payload, now);
+}
+
+void Balancer::route(const ProxyHeader& header, ByteView payload, Instant now) {
+  const ServiceView* service =
+      state_.view() == nullptr ? nullptr : state_.view()->service(header.flow.service);
+  if (service == nullptr) {
+    ++counters_.datagrams_unknown_service;
+    return;
+  }
+  Partition& partition = state_.partition(state_.view()->partition_of(header.flow, *service));
+  switch (partition.role) {
+    case PartitionRole::kOwner:
+      on_owned(partition, header, payload, now);
+      return;
+    case PartitionRole::kAcquiring: {
+      const Acquisition& acquisition = *partition.acquisition;
+      const bool source_decides = acquisition.has_source() && acquisition.next_chunk == 0 &&
+                                  acquisition.sources[acquisition.source].was_owner;
+      if (source_decides && !header.relay) {
+        relay(partition, header, payload);
+      } else {
+        handover_.hold(partition, header, payload);
+      }
+      return;
+    }
+    case PartitionRole::kNone:
+      relay(partition, header, payload);
+      return;
+  }
+}
+
+void Balancer::relay(Partition& partition, const ProxyHeader& header, ByteView payload) {
+  std::optional<Endpoint> peer;
+  if (partition.role == PartitionRole::kAcquiring) {
+    peer = partition.acquisition->sources[partition.acquisition->source].address;
+  } else if (partition.outgoing && partition.outgoing->holding == HoldingState::kComplete &&
+             partition.outgoing->revision >= state_.view()->members_revision()) {
+    peer = partition.outgoing->to;
+  } else if (const Member* owner = state_.view()->owner(partition.id)) {
+    peer = owner->address;
+  }
+  if (!peer || *peer == state_.self()) {
+    ++counters_.datagrams_without_owner;
+    return;
+  }
+  ProxyHeader relayed = header;
+  RelayMark mark = header.relay.value_or(RelayMark{});
+  if (mark.hops >= kMaxRelayHops) {
+    ++counters_.datagrams_hop_limit;
+    return;
+  }
+  ++mark.hops;
+  mark.members_revision = state_.view()->members_revision();
+  relayed.relay = mark;
+  ++counters_.datagrams_relayed;
+  state_.output().relay(*peer, relayed, payload);
+}
+
+void Balancer::on_owned(Partition& partition, const ProxyHeader& header, ByteView payload,
+                        Instant now) {
+  const std::optional<CoapSummary> summary = parser_.parse(payload);
+  if (!summary) {
+    ++counters_.datagrams_malformed;
+    return;
+  }
+  if (header.target) {
+    answers_.on_answer(partition, {header, *header.target, payload, *summary}, now);
+    return;
+  }
+  if (summary->code != coap_code::kEmpty) {
+    on_caller_message(partition, header.flow, payload, *summary, now);
+    return;
+  }
+  if (summary->type == CoapType::kConfirmable) {
+    // A ping (RFC 7252 section 4.3).
+    state_.output().send_to_caller(header.flow,
+                                   encode_empty(CoapType::kReset, summary->message_id));
+    return;
+  }
+  answers_.on_caller_empty(partition, header.flow, *summary, now);
+}
+
+void Balancer::on_caller_message(Partition& partition, const FlowKey& flow, ByteView message,
+                                 const CoapSummary& summary, Instant now) {
+  const bool is_request = summary.is_request() && (summary.type == CoapType::kConfirmable ||
+                                                   summary.type == CoapType::kNonConfirmable);
+  if (!is_request) {
+    ++counters_.datagrams_malformed;
+    return;
+  }
+  ++counters_.requests;
+  state_.retry_budget().on_request();
+  RequestContext context(partition, *state_.view()->service(flow.service), flow, message, now);
+  context.token = summary.token;
+  context.message_id = summary.message_id;
+  context.type = summary.type;
+  context.kind = classify(summary, context.service);
+  context.observe = summary.observe;
+  context.continuation = (summary.block2 && summary.block2->number > 0) ||
+                         (summary.block1 && summary.block1->number > 0);
+  chain_.run(context, ChainEntry::kArrival);
+}
+
+void Balancer::on_peer_message(const Endpoint& from, const PeerMessage& message, Instant now) {
+  struct Visitor {
+    Balancer& balancer;
+    const Endpoint& from;
+    Instant now;
+    void operator()(const ReplicateRequest& request) const {
+      balancer.backups_.on_request(from, request, now);
+    }
+    void operator()(const ReplicateReply& reply) const {
+      balancer.replicator_.on_reply(reply, now);
+    }
+    void operator()(const TakeoverRequest& request) const {
+      balancer.handover_.on_takeover_request(from, request, now);
+    }
+    void operator()(const TakeoverChunk& chunk) const {
+      balancer.handover_.on_takeover_chunk(from, chunk, now);
+    }
+  };
+  if (state_.view() != nullptr) {
+    std::visit(Visitor{*this, from, now}, message);
+  }
+}
+
+void Balancer::on_fleet(FleetState fleet, Instant now) {
+  const bool newer = state_.view() == nullptr || fleet.revision > state_.view()->state().revision;
+  if (!newer && !state_.faults().ignore_revision_floor) {
+    return;
+  }
+  const Revision old_members =
+      state_.view() == nullptr ? 0 : state_.view()->state().members_revision;
+  const std::shared_ptr<const FleetView> old_view = state_.view();
+  state_.set_view(std::make_shared<const FleetView>(std::move(fleet)));
+  board_.adopt(*state_.view(), now);
+  for (auto& [id, partition] : state_.partitions()) {
+    if (partition->role == PartitionRole::kOwner) {
+      binding_.mark_exceptions(*partition);
+    }
+  }
+  move_feeds_from_lost_targets(now);
+  if (state_.view()->members_revision() != old_members) {
+    handover_.on_members(now);
+  }
+}
+
+void Balancer::move_feeds_from_lost_targets(Instant now) {
+  for (auto& [id, partition] : state_.partitions()) {
+    if (partition->role != PartitionRole::kOwner) {
+      continue;
+    }
+    std::vector<RequestRecord*> lost;
+    for (const auto& [request_id, record] : partition->store.requests()) {
+      const ServiceView* service = state_.view()->service(record->flow.service);
+      const bool open =
+          record->kind == RequestKind::kFeed && record->state == RequestState::kAnswered;
+      if (!open || service == nullptr) {
+        continue;
+      }
+      const bool listed = state_.view()->target(*service, record->target) != nullptr;
+      if (!listed || !board_.at(record->target).healthy) {
+        lost.push_back(record);
+      }
+    }
+    for (RequestRecord* record : lost) {
+      const ServiceView* service = state_.view()->service(record->flow.service);
+      const Target* target = actions_.place(*service, record->flow, now, record->target);
+      if (target != nullptr) {
+        binding_.bind(*partition, record->flow, target->address, now);
+        actions_.move_feed(*partition, *record, target->address, now);
+      }
+    }
+  }
+}
+
+void Balancer::on_target_report(const TargetReport& report, Instant now) {
+  const bool went_down = board_.report(report, now);
+  if (went_down && state_.view() != nullptr) {
+    move_feeds_from_lost_targets(now);
+  }
+}
+
+void Balancer::on_tick(Instant now) {
+  if (state_.view() == nullptr) {
+    return;
+  }
+  expire(now);
+  replicator_.on_tick(now);
+  handover_.on_tick(now);
+  if (now >= next_sweep_) {
+    next_sweep_ = now + kSweepInterval;
+    sweep_position_ = (sweep_position_ + 1) % state_.view()->state().partitions;
+    const auto found = state_.partitions().find(sweep_position_);
+    if (found != state_.partitions().end()) {
+      binding_.release_idle(*found->second, now);
+    }
+    if (sweep_position_ == 0) {
+      backups_.drop_unused(now);
+    }
+  }
+}
+
+void Balancer::expire(Instant now) {
+  auto& deadlines = state_.deadlines();
+  while (!deadlines.empty() && deadlines.top().at <= now) {
+    const DeadlineEntry entry = deadlines.top();
+    deadlines.pop();
+    const auto partition = state_.partitions().find(entry.partition);
+    if (partition == state_.partitions().end()) {
+      continue;
+    }
+    RequestRecord* record = partition->second->store.find_request(entry.id);
+    if (record != nullptr && record->deadline <= now) {
+      on_expired(*partition->second, *record, now);
+    }
+  }
+}
+
+void Balancer::on_expired(Partition& partition, RequestRecord& record, Instant now) {
+  const Endpoint target = record.target;
+  switch (record.state) {
+    case RequestState::kRecording:
+      actions_.give_up(partition, record, Execution::kMayHaveRun, GiveUpReason::kNoBackup, now);
+      return;
+    case RequestState::kQueued:
+      actions_.give_up(partition, record, Execution::kNotRun, GiveUpReason::kDeadline, now);
+      return;
+    case RequestState::kDispatched:
+      actions_.give_up(partition, record, Execution::kMayHaveRun, GiveUpReason::kDeadline, now);
+      chain_.drain_queue(target, now);
+      return;
+    case RequestState::kAnswered:
+    case RequestState::kGivenUp:
+      if (record.kind == RequestKind::kFeed && record.state == RequestState::kAnswered) {
+        if (FlowRecord* flow = partition.store.find_flow(record.flow)) {
+          flow->feeds = static_cast<std::uint16_t>(flow->feeds - (flow->feeds > 0 ? 1 : 0));
+        }
+      }
+      actions_.forget(partition, record);
+      return;
+  }
+}
+
+void Balancer::on_recorded(Partition& partition, const RequestId& id, Instant now) {
+  RequestRecord* record = partition.store.find_request(id);
+  if (record == nullptr || record->state != RequestState::kRecording) {
+    return;
+  }
+  const ServiceView* service = state_.view()->service(record->flow.service);
+  const auto timeout = service == nullptr
+                           ? Duration::zero()
+                           : Duration(std::chrono::milliseconds(
+                                 service->service->request_timeout_ms));
+  state_.set_deadline(partition.id, *record, now + timeout);
+  chain_.resume(partition, *record, ChainEntry::kAdmission, now);
+}
+
+void Balancer::on_superseded(Partition& partition, Instant /*now*/) {
+  handover_.abandon(partition);
+}
+
+void Balancer::on_request_imported(Partition& partition, RequestRecord& record, Instant now) {
+  if (record.is_outstanding()) {
+    ++board_.at(record.target).outstanding;
+  }
+  if (record.kind == RequestKind::kFeed && record.state == RequestState::kAnswered) {
+    FlowRecord* flow = partition.store.find_flow(record.flow);
+    if (flow == nullptr) {
+      flow = &binding_.bind(partition, record.flow, record.target, now);
+    }
+    ++flow->feeds;
+    partition.store.note_notification(&record, record.feed.message_id_out,
+                                      record.feed.message_id_in);
+  }
+  Duration lifetime = timing::kExchangeLifetime;
+  if (record.kind == RequestKind::kFeed && record.state == RequestState::kAnswered) {
+    lifetime = timing::kFeedIdle;
+  } else if (record.is_outstanding() || record.is_waiting()) {
+    const ServiceView* service = state_.view()->service(record.flow.service);
+    lifetime = service == nullptr
+                   ? Duration::zero()
+                   : Duration(std::chrono::milliseconds(service->service->request_timeout_ms));
+  }
+  state_.set_deadline(partition.id, record, now + lifetime);
+}
+
+void Balancer::on_acquired(Partition& partition, Instant now) {
+  // Requests that the previous owner held back were never sent to a target: they go on here.
+  std::vector<RequestRecord*> waiting;
+  for (const auto& [id, record] : partition.store.requests()) {
+    if (record->is_waiting()) {
+      waiting.push_back(record);
+    }
+  }
+  for (RequestRecord* record : waiting) {
+    chain_.resume(partition, *record, ChainEntry::kRecord, now);
+  }
+  if (state_.view() != nullptr) {
+    move_feeds_from_lost_targets(now);
+  }
+}
+
+void Balancer::on_held_datagram(const ProxyHeader& header, ByteView payload, Instant now) {
+  route(header, payload, now);
+}
+
+Revision Balancer::revision() const {
+  return state_.view() == nullptr ? 0 : state_.view()->state().revision;
+}
+
+Revision Balancer::settled_revision() const {
+  return handover_.is_settled() ? state_.view()->members_revision() : 0;
+}
+
+bool Balancer::has_released_all(Instant now) const { return handover_.has_released_all(now); }
+
+std::size_t Balancer::flow_count() const {
+  std::size_t count = 0;
+  for (const auto& [id, partition] : const_cast<BalancerState&>(state_).partitions()) {
+    count += partition->store.flows().size();
+  }
+  return count;
+}
+
+std::size_t Balancer::request_count() const {
+  std::size_t count = 0;
+  for (const auto& [id, partition] : const_cast<BalancerState&>(state_).partitions()) {
+    count += partition->store.requests().size();
+  }
+  return count;
+}
+
+}  // namespace gorsevalve
--- /dev/null
+++ b/src/core/balancer/balancer_state.h
@@ -0,0 +1,147 @@
+/// State that the parts of the balancer core share. Owned by Balancer; used by one thread.
+#pragma once
+
+#include <absl/container/flat_hash_map.h>
+
+#include <algorithm>
+#include <memory>
+#include <queue>
+
+#include "core/balancer/fleet_view.h"
+#include "core/balancer/output.h"
+#include "core/balancer/partition.h"
+#include "core/balancer/target_board.h"
+#include "model/fleet.h"
+
+namespace gorsevalve {
+
+/// Counters since the start of the process. Names match the exported metrics.
+struct BalancerCounters {
+  std::uint64_t datagrams_in = 0;
+  std::uint64_t datagrams_malformed = 0;
+  std::uint64_t datagrams_unknown_service = 0;
+  std::uint64_t datagrams_relayed = 0;
+  std::uint64_t datagrams_without_owner = 0;
+  std::uint64_t datagrams_hop_limit = 0;
+  std::uint64_t datagrams_held = 0;
+  std::uint64_t requests = 0;
+  std::uint64_t requests_dispatched = 0;
+  std::uint64_t requests_duplicate = 0;
+  std::uint64_t requests_retried = 0;
+  std::uint64_t answers = 0;
+  std::uint64_t answers_unmatched = 0;
+  std::uint64_t verdicts_not_run = 0;
+  std::uint64_t verdicts_may_have_run = 0;
+  std::uint64_t flows_placed = 0;
+  std::uint64_t flows_second_choice = 0;
+  std::uint64_t feeds_moved = 0;
+  std::uint64_t feeds_relearned = 0;
+  std::uint64_t partitions_taken_over = 0;
+  std::uint64_t partitions_incomplete = 0;
+  std::uint64_t partitions_superseded = 0;
+  std::uint64_t dispatches_blocked = 0;
+};
+
+/// Deliberate faults, for the test that shows that the checkers can fail. All off in programs.
+struct BalancerFaults {
+  bool skip_lease_check = false;
+  bool skip_record_before_dispatch = false;
+  bool skip_incomplete_check = false;
+  bool ignore_seal = false;
+  bool ignore_revision_floor = false;
+  bool drop_state_on_handover = false;
+};
+
+struct BalancerConfig {
+  Member self;
+  BalancerFaults faults;
+};
+
+/// A deadline of one request; stale entries are recognised by the record's own deadline.
+struct DeadlineEntry {
+  Instant at;
+  PartitionId partition = 0;
+  RequestId id;
+
+  friend bool operator>(const DeadlineEntry& a, const DeadlineEntry& b) { return a.at > b.at; }
+};
+
+/// Bounds retries to a share of the requests, so that retries cannot multiply an overload.
+class RetryBudget {
+ public:
+  void on_request() { tokens_ = std::min(tokens_ + kPerRequest, kMaximum); }
+  /// Takes one retry from the budget; false when there is none.
+  bool take() {
+    if (tokens_ < 1) {
+      return false;
+    }
+    tokens_ -= 1;
+    return true;
+  }
+
+ private:
+  static constexpr double kPerRequest = 0.1;
+  static constexpr double kMaximum = 20;
+  double tokens_ = kMaximum;
+};
+
+class BalancerState {
+ public:
+  BalancerState(BalancerConfig config, BalancerOutput& output)
+      : config_(std::move(config)), output_(output) {}
+
+  [[nodiscard]] const BalancerConfig& config() const { return config_; }
+  [[nodiscard]] const BalancerFaults& faults() const { return config_.faults; }
+  [[nodiscard]] const Endpoint& self() const { return config_.self.address; }
+  BalancerOutput& output() { return output_; }
+  BalancerCounters& counters() { return counters_; }
+  TargetBoard& board() { return board_; }
+  RetryBudget& retry_budget() { return retry_budget_; }
+
+  /// The present view; nullptr before the first revision arrived.
+  [[nodiscard]] const std::shared_ptr<const FleetView>& view() const { return view_; }
+  void set_view(std::shared_ptr<const FleetView> view) { view_ = std::move(view); }
+
+  Partition& partition(PartitionId id) {
+    auto& slot = partitions_[id];
+    if (slot == nullptr) {
+      slot = std::make_unique<Partition>(id, pool_);
+    }
+    return *slot;
+  }
+  absl::flat_hash_map<PartitionId, std::unique_ptr<Partition>>& partitions() {
+    return partitions_;
+  }
+
+  RequestId next_request_id() { return {config_.self.incarnation, ++last_sequence_}; }
+
+  /// Sets the deadline of a record and remembers to look at it then.
+  void set_deadline(PartitionId partition, RequestRecord& record, Instant at) {
+    record.deadline = at;
+    deadlines_.push({at, partition, record.id});
+  }
+  auto& deadlines() { return deadlines_; }
+
+  [[nodiscard]] Instant lease_until() const { return lease_until_; }
+  void set_lease_until(Instant until) { lease_until_ = until; }
+
+  /// Share of the partitions that this balancer owns under the present view.
+  [[nodiscard]] double owned_share() const { return owned_share_; }
+  void set_owned_share(double share) { owned_share_ = share; }
+
+ private:
+  BalancerConfig config_;
+  BalancerOutput& output_;
+  BalancerCounters counters_;
+  TargetBoard board_;
+  RetryBudget retry_budget_;
+  std::shared_ptr<const FleetView> view_;
+  RequestPool pool_;
+  absl::flat_hash_map<PartitionId, std::unique_ptr<Partition>> partitions_;
+  std::priority_queue<DeadlineEntry, std::vector<DeadlineEntry>, std::greater<>> deadlines_;
+  std::uint64_t last_sequence_ = 0;
+  Instant lease_until_;
+  double owned_share_ = 0;
+};
+
+}  // namespace gorsevalve
--- /dev/null
+++ b/src/core/balancer/control_client.h
@@ -0,0 +1,61 @@
+/// The balancer's side of its session with the control replicas: heartbeats, the lease, and the fleet
+/// state by deltas. A state machine without sockets.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "core/control/node_messages.h"
+#include "model/fleet.h"
+#include "model/time.h"
+
+namespace gorsevalve {
+
+/// What the client asks its surroundings to do.
+class ControlClientOutput {
+ public:
+  virtual ~ControlClientOutput() = default;
+  virtual void send_control(const Endpoint& replica, const NodeMessage& message) = 0;
+  /// A newer fleet state is in force from now on.
+  virtual void on_fleet(const FleetState& fleet, Instant now) = 0;
+  virtual void on_lease(Instant until) = 0;
+};
+
+class ControlClient {
+ public:
+  /// `stored` is the fleet state that was kept over a restart, or an empty one.
+  ControlClient(Member self, std::vector<Endpoint> replicas, FleetState stored,
+                ControlClientOutput& output);
+
+  void on_message(const Endpoint& from, const NodeMessage& message, Instant now);
+  /// `settled_revision` is the balancer's.
+  void on_tick(Revision settled_revision, Instant now);
+
+  /// Asks to leave: this process will hand over its partitions.
+  void leave() { self_.state = MemberState::kLeaving; }
+  /// True when this process left the members and may end.
+  [[nodiscard]] bool may_stop() const { return may_stop_; }
+  [[nodiscard]] const FleetState& fleet() const { return fleet_; }
+
+ private:
+  void on_update(const FleetUpdate& update, Instant now);
+  void on_reply(const HeartbeatReply& reply, Instant now);
+  void send_heartbeat(Revision settled_revision, Instant now);
+
+  Member self_;
+  std::vector<Endpoint> replicas_;
+  ControlClientOutput& output_;
+  FleetState fleet_;
+  std::uint64_t digest_ = 0;
+  std::size_t replica_ = 0;
+  std::uint64_t sequence_ = 0;
+  std::map<std::uint64_t, Instant> heartbeats_sent_;
+  Instant next_heartbeat_;
+  Instant last_heard_;
+  Instant lease_until_;
+  bool may_stop_ = false;
+  Revision reported_settled_ = 0;
+};
+
+}  // namespace gorsevalve
--- /dev/null
+++ b/src/core/balancer/flow_binding.cc
@@ -0,0 +1,114 @@
+#include "core/balancer/flow_binding.h"
+
+#include <vector>
+
+#include "core/balancer/timing.h"
+
+namespace gorsevalve {
+namespace {
+
+std::uint32_t to_seconds(Instant now) {
+  return static_cast<std::uint32_t>(
+      std::chrono::duration_cast<std::chrono::seconds>(now.time_since_epoch()).count());
+}
+
+/// First message id of a flow at this owner. Differs between owners, so that two owners in a row
+/// seldom use the same ids for one caller (RFC 7252 section 4.4).
+std::uint16_t initial_message_id(const FlowKey& flow, std::uint64_t incarnation, Instant now) {
+  const auto time = static_cast<std::uint64_t>(now.time_since_epoch().count());
+  return static_cast<std::uint16_t>(flow_hash(flow) ^ incarnation ^ (time >> 4U));
+}
+
+}  // namespace
+
+FlowRecord& FlowBinding::bind(Partition& partition, const FlowKey& flow, const Endpoint& target,
+                              Instant now) {
+  FlowRecord* record = partition.store.find_flow(flow);
+  if (record == nullptr) {
+    FlowRecord fresh;
+    fresh.next_message_id =
+        initial_message_id(flow, state_.config().self.incarnation, now);
+    record = &partition.store.add_flow(flow, fresh);
+  } else {
+    --state_.board().at(record->target).flows;
+  }
+  record->target = target;
+  record->last_active_s = to_seconds(now);
+  ++state_.board().at(target).flows;
+  if (is_exception(flow, *record)) {
+    partition.unconfirmed.pins.insert(flow);
+  }
+  return *record;
+}
+
+FlowRecord* FlowBinding::touch(Partition& partition, const FlowKey& flow, Instant now) {
+  FlowRecord* record = partition.store.find_flow(flow);
+  if (record != nullptr) {
+    record->last_active_s = to_seconds(now);
+  }
+  return record;
+}
+
+void FlowBinding::release(Partition& partition, const FlowKey& flow) {
+  const FlowRecord* record = partition.store.find_flow(flow);
+  if (record == nullptr) {
+    return;
+  }
+  --state_.board().at(record->target).flows;
+  partition.unconfirmed.pins.erase(flow);
+  partition.store.erase_flow(flow);
+}
+
+void FlowBinding::release_idle(Partition& partition, Instant now) {
+  const auto idle_s = static_cast<std::uint32_t>(
+      std::chrono::duration_cast<std::chrono::seconds>(timing::kFlowIdle).count());
+  const std::uint32_t now_s = to_seconds(now);
+  std::vector<FlowKey> idle;
+  for (const auto& [flow, record] : partition.store.flows()) {
+    if (record.feeds == 0 && record.last_active_s + idle_s < now_s) {
+      idle.push_back(flow);
+    }
+  }
+  for (const auto& flow : idle) {
+    release(partition, flow);
+  }
+}
+
+void FlowBinding::clear(Partition& partition) {
+  for (const auto& [flow, record] : partition.store.flows()) {
+    --state_.board().at(record.target).flows;
+  }
+  partition.store.flows().clear();
+  std::vector<RequestRecord*> records;
+  for (const auto& [id, record] : partition.store.requests()) {
+    records.push_back(record);
+  }
+  for (RequestRecord* record : records) {
+    if (record->is_outstanding()) {
+      --state_.board().at(record->target).outstanding;
+    }
+    partition.store.erase_request(record);
+  }
+  partition.unconfirmed = UnconfirmedChanges{};
+  partition.in_flight.reset();
+  partition.copy_pending = false;
+}
+
+bool FlowBinding::is_exception(const FlowKey& flow, const FlowRecord& record) const {
+  const ServiceView* service = state_.view()->service(flow.service);
+  if (service == nullptr) {
+    return true;
+  }
+  const Target* derived = state_.view()->first_choice(*service, flow);
+  return derived == nullptr || derived->address != record.target || record.feeds > 0;
+}
+
+void FlowBinding::mark_exceptions(Partition& partition) {
+  for (const auto& [flow, record] : partition.store.flows()) {
+    if (is_exception(flow, record)) {
+      partition.unconfirmed.pins.insert(flow);
+    }
+  }
+}
+
+}  // namespace gorsevalve
--- /dev/null
+++ b/src/core/balancer/handover.cc
@@ -0,0 +1,385 @@
+#include "core/balancer/handover.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/balancer/timing.h"
+
+namespace gorsevalve {
+namespace {
+
+/// Datagrams that wait for one partition's state; more are dropped and come again by retransmission.
+constexpr std::size_t kMaxHeldDatagrams = 512;
+
+/// Cuts a batch into chunks near kBatchSize. There is always at least one.
+std::vector<StateBatch> cut(StateBatch&& whole) {
+  std::vector<StateBatch> chunks(1);
+  std::size_t size = 0;
+  const auto room_for = [&](std::size_t next) {
+    if (size > 0 && size + next > kBatchSize) {
+      chunks.emplace_back();
+      size = 0;
+    }
+    size += next;
+  };
+  for (auto& pin : whole.pins) {
+    room_for(kEstimatedPinSize);
+    chunks.back().pins.push_back(pin);
+  }
+  for (auto& record : whole.requests) {
+    room_for(estimated_size(record));
+    chunks.back().requests.push_back(std::move(record));
+  }
+  return chunks;
+}
+
+/// All state of a partition. Every flow is included, not only the exceptions: the new owner may know
+/// another revision of the slot table.
+StateBatch whole_state(const PartitionStore& store) {
+  StateBatch batch;
+  for (const auto& [flow, record] : store.flows()) {
+    batch.pins.push_back({flow, record.target, record.next_message_id});
+  }
+  for (const auto& [id, record] : store.requests()) {
+    batch.requests.push_back(*record);
+  }
+  return batch;
+}
+
+}  // namespace
+
+void Handover::on_members(Instant now) {
+  const FleetView& view = *state_.view();
+  state_.set_owned_share(view.owned_share(state_.self()));
+  for (PartitionId id = 0; id < view.state().partitions; ++id) {
+    const Member* owner = view.owner(id);
+    const bool is_owner = owner != nullptr && owner->address == state_.self() &&
+                          owner->incarnation == state_.config().self.incarnation;
+    if (is_owner) {
+      follow_assignment(state_.partition(id), now);
+    } else if (state_.partitions().contains(id)) {
+      cancel_if_source_keeps(state_.partition(id));
+    }
+  }
+}
+
+void Handover::cancel_if_source_keeps(Partition& partition) {
+  // Another membership change came before the state arrived. Normally the transfer goes on, since the
+  // next owner asks this process. But when the process that has the state owns it again, it keeps it.
+  if (partition.role != PartitionRole::kAcquiring || !partition.acquisition->has_source()) {
+    return;
+  }
+  const Member* owner = state_.view()->owner(partition.id);
+  const Endpoint source = partition.acquisition->sources[partition.acquisition->source].address;
+  if (owner != nullptr && owner->address == source && partition.acquisition->next_chunk == 0) {
+    partition.acquisition.reset();
+    partition.role = PartitionRole::kNone;
+  }
+}
+
+void Handover::follow_assignment(Partition& partition, Instant now) {
+  if (partition.role == PartitionRole::kNone) {
+    start_acquisition(partition, now);
+    return;
+  }
+  if (partition.role == PartitionRole::kOwner) {
+    const Member* backup = state_.view()->backup(partition.id);
+    const std::optional<Endpoint> address =
+        backup == nullptr ? std::nullopt : std::optional(backup->address);
+    if (address != partition.backup) {
+      set_backup(partition, state_.view()->members_revision());
+    }
+  }
+}
+
+void Handover::set_backup(Partition& partition, Revision revision) {
+  const Member* backup = state_.view()->backup(partition.id);
+  const bool usable = backup != nullptr && backup->address != state_.self();
+  partition.backup = usable ? std::optional(backup->address) : std::nullopt;
+  partition.owner_revision = revision;
+  binding_.mark_exceptions(partition);
+  replicator_.start_copy(partition);
+}
+
+std::vector<TakeoverSource> Handover::find_sources(PartitionId partition) const {
+  const FleetView& view = *state_.view();
+  std::vector<TakeoverSource> sources;
+  const auto add = [&](const Member* member, bool was_owner) {
+    const bool alive =
+        member != nullptr && view.member(member->address, member->incarnation) != nullptr;
+    if (alive && member->address != state_.self()) {
+      sources.push_back({member->address, was_owner});
+    }
+  };
+  add(view.previous_owner(partition), true);
+  add(view.previous_backup(partition), false);
+  return sources;
+}
+
+void Handover::start_acquisition(Partition& partition, Instant now) {
+  partition.role = PartitionRole::kAcquiring;
+  partition.outgoing.reset();
+  Acquisition acquisition;
+  acquisition.revision = state_.view()->members_revision();
+  acquisition.sources = find_sources(partition.id);
+  acquisition.last_heard = now;
+  partition.acquisition = std::move(acquisition);
+  if (state_.view()->is_first_membership()) {
+    finish(partition, true, now);
+    return;
+  }
+  ask_source(partition, now);
+}
+
+bool Handover::take_own_copy(Partition& partition, Instant now) {
+  const Member* backup = state_.view()->previous_backup(partition.id);
+  const bool was_backup = backup != nullptr && backup->address == state_.self() &&
+                          backup->incarnation == state_.config().self.incarnation;
+  if (!was_backup || partition.copy == nullptr) {
+    return false;
+  }
+  partition.sealed_revision =
+      std::max(partition.sealed_revision, partition.acquisition->revision);
+  const bool complete = partition.copy->complete;
+  const std::unique_ptr<StateCopy> copy = std::move(partition.copy);
+  partition.incomplete_until = std::max(partition.incomplete_until, copy->incomplete_until);
+  import(partition, BackupStore::content(*copy), now);
+  return complete;
+}
+
+void Handover::ask_source(Partition& partition, Instant now) {
+  Acquisition& acquisition = *partition.acquisition;
+  if (!acquisition.has_source()) {
+    const bool complete = take_own_copy(partition, now);
+    finish(partition, complete, now);
+    return;
+  }
+  acquisition.last_sent = now;
+  const TakeoverRequest request{acquisition.revision, partition.id, acquisition.next_chunk};
+  state_.output().send_peer(acquisition.sources[acquisition.source].address, request);
+}
+
+void Handover::next_source(Partition& partition, Instant now) {
+  Acquisition& acquisition = *partition.acquisition;
+  ++acquisition.source;
+  acquisition.next_chunk = 0;
+  acquisition.last_heard = now;
+  ask_source(partition, now);
+}
+
+void Handover::on_takeover_chunk(const Endpoint& from, const TakeoverChunk& chunk, Instant now) {
+  Partition& partition = state_.partition(chunk.partition);
+  if (partition.role != PartitionRole::kAcquiring || !partition.acquisition->has_source()) {
+    return;
+  }
+  Acquisition& acquisition = *partition.acquisition;
+  if (acquisition.sources[acquisition.source].address != from) {
+    return;
+  }
+  if (chunk.holding == HoldingState::kBusy) {
+    acquisition.last_heard = now;
+    return;
+  }
+  if (chunk.chunk != acquisition.next_chunk) {
+    return;
+  }
+  acquisition.last_heard = now;
+  ++acquisition.next_chunk;
+  partition.incomplete_until =
+      std::max(partition.incomplete_until,
+               now + std::chrono::milliseconds(chunk.incomplete_for_ms));
+  import(partition, chunk.state, now);
+  if (!chunk.last) {
+    ask_source(partition, now);
+  } else if (chunk.holding == HoldingState::kComplete) {
+    finish(partition, true, now);
+  } else {
+    next_source(partition, now);
+  }
+}
+
+void Handover::import(Partition& partition, const StateBatch& batch, Instant now) {
+  for (const auto& pin : batch.pins) {
+    if (partition.store.find_flow(pin.flow) == nullptr) {
+      binding_.bind(partition, pin.flow, pin.target, now).next_message_id = pin.next_message_id;
+    }
+  }
+  for (const auto& record : batch.requests) {
+    if (partition.store.find_request(record.id) != nullptr) {
+      continue;
+    }
+    RequestRecord* copy = partition.store.new_request();
+    *copy = record;
+    partition.store.index(copy);
+    listener_.on_request_imported(partition, *copy, now);
+  }
+}
+
+void Handover::finish(Partition& partition, bool complete, Instant now) {
+  ++state_.counters().partitions_taken_over;
+  if (!complete) {
+    ++state_.counters().partitions_incomplete;
+    partition.incomplete_until = now + timing::kIncompleteTakeover;
+  }
+  std::vector<HeldDatagram> held = std::move(partition.acquisition->held);
+  const Revision revision = partition.acquisition->revision;
+  partition.acquisition.reset();
+  partition.role = PartitionRole::kOwner;
+  set_backup(partition, revision);
+  listener_.on_acquired(partition, now);
+  for (const auto& datagram : held) {
+    listener_.on_held_datagram(datagram.header, datagram.payload, now);
+  }
+}
+
+void Handover::freeze(Partition& partition) {
+  StateBatch state = whole_state(partition.store);
+  if (state_.faults().drop_state_on_handover) {
+    state = StateBatch{};
+  }
+  OutgoingTransfer outgoing;
+  outgoing.chunks = cut(std::move(state));
+  outgoing.holding = HoldingState::kComplete;
+  outgoing.incomplete_until = partition.incomplete_until;
+  partition.outgoing = std::move(outgoing);
+  partition.role = PartitionRole::kNone;
+  binding_.clear(partition);
+}
+
+void Handover::offer_copy(Partition& partition) {
+  if (partition.copy == nullptr && partition.outgoing) {
+    // Frozen state that another process asked for before: it may have decided since.
+    partition.outgoing->holding = HoldingState::kIncomplete;
+    return;
+  }
+  OutgoingTransfer outgoing;
+  outgoing.holding = HoldingState::kNone;
+  outgoing.chunks.emplace_back();
+  if (partition.copy != nullptr) {
+    outgoing.chunks = cut(BackupStore::content(*partition.copy));
+    outgoing.holding =
+        partition.copy->complete ? HoldingState::kComplete : HoldingState::kIncomplete;
+    outgoing.incomplete_until = partition.copy->incomplete_until;
+  }
+  partition.outgoing = std::move(outgoing);
+}
+
+void Handover::prepare_outgoing(Partition& partition, Revision revision, const Endpoint& to) {
+  if (partition.role == PartitionRole::kOwner) {
+    freeze(partition);
+  } else if (partition.outgoing && partition.outgoing->to == to &&
+             partition.outgoing->revision == revision) {
+    return;
+  } else {
+    offer_copy(partition);
+  }
+  partition.outgoing->to = to;
+  partition.outgoing->revision = revision;
+}
+
+bool Handover::is_stale(const Partition& partition, const TakeoverRequest& request) const {
+  if (request.members_revision < partition.sealed_revision) {
+    return true;
+  }
+  if (partition.role == PartitionRole::kNone) {
+    return false;
+  }
+  // The present view gives the partition to this process under a revision that is not older.
+  const FleetView& view = *state_.view();
+  const Member* owner = view.owner(partition.id);
+  const bool is_owner = owner != nullptr && owner->address == state_.self();
+  return is_owner && request.members_revision <= view.members_revision();
+}
+
+void Handover::on_takeover_request(const Endpoint& from, const TakeoverRequest& request,
+                                   Instant now) {
+  Partition& partition = state_.partition(request.partition);
+  if (is_stale(partition, request)) {
+    return;
+  }
+  TakeoverChunk reply;
+  reply.members_revision = request.members_revision;
+  reply.partition = request.partition;
+  reply.chunk = request.chunk;
+  if (partition.role == PartitionRole::kAcquiring) {
+    reply.holding = HoldingState::kBusy;
+    state_.output().send_peer(from, reply);
+    return;
+  }
+  partition.sealed_revision = request.members_revision;
+  prepare_outgoing(partition, request.members_revision, from);
+  OutgoingTransfer& outgoing = *partition.outgoing;
+  outgoing.last_asked = now;
+  if (request.chunk >= outgoing.chunks.size()) {
+    return;
+  }
+  reply.state = outgoing.chunks[request.chunk];
+  reply.last = request.chunk + 1 == outgoing.chunks.size();
+  reply.holding = outgoing.holding;
+  reply.incomplete_for_ms = milliseconds_until(outgoing.incomplete_until, now);
+  state_.output().send_peer(from, reply);
+}
+
+void Handover::on_tick(Instant now) {
+  std::vector<Partition*> acquiring;
+  for (auto& [id, partition] : state_.partitions()) {
+    if (partition->role == PartitionRole::kAcquiring) {
+      acquiring.push_back(partition.get());
+    }
+    if (partition->outgoing &&
+        now - partition->outgoing->last_asked > timing::kOutgoingLifetime) {
+      partition->outgoing.reset();
+    }
+  }
+  for (Partition* partition : acquiring) {
+    const Acquisition& acquisition = *partition->acquisition;
+    if (now - acquisition.last_heard >= timing::kTakeoverSourceTimeout) {
+      next_source(*partition, now);
+    } else if (now - acquisition.last_sent >= timing::kTakeoverRetry) {
+      ask_source(*partition, now);
+    }
+  }
+}
+
+void Handover::hold(Partition& partition, const ProxyHeader& header, ByteView payload) {
+  auto& held = partition.acquisition->held;
+  if (held.size() < kMaxHeldDatagrams) {
+    held.push_back({header, Bytes(payload.begin(), payload.end())});
+    ++state_.counters().datagrams_held;
+  }
+}
+
+void Handover::abandon(Partition& partition) {
+  ++state_.counters().partitions_superseded;
+  binding_.clear(partition);
+  partition.role = PartitionRole::kNone;
+}
+
+bool Handover::is_settled() const {
+  const FleetView* view = state_.view().get();
+  if (view == nullptr) {
+    return false;
+  }
+  return std::all_of(state_.partitions().begin(), state_.partitions().end(),
+                     [&](const auto& entry) {
+                       const Partition& partition = *entry.second;
+                       const Member* owner = view->owner(partition.id);
+                       const bool is_owner = owner != nullptr && owner->address == state_.self();
+                       const bool copying = partition.copy_pending;
+                       return is_owner ? partition.role == PartitionRole::kOwner && !copying
+                                       : partition.role == PartitionRole::kNone;
+                     });
+}
+
+bool Handover::has_released_all(Instant now) const {
+  return std::all_of(state_.partitions().begin(), state_.partitions().end(),
+                     [&](const auto& entry) {
+                       const Partition& partition = *entry.second;
+                       const bool asked_lately =
+                           partition.outgoing && now - partition.outgoing->last_asked <
+                                                     timing::kTakeoverSourceTimeout;
+                       return partition.role == PartitionRole::kNone && !asked_lately;
+                     });
+}
+
+}  // namespace gorsevalve
--- /dev/null
+++ b/src/core/balancer/partition.h
@@ -0,0 +1,128 @@
+/// One ownership partition as a balancer sees it: its role, its state as owner, the copy it holds as
+/// backup, and the transfers under way.
+#pragma once
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
+
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "codec/proxy_header.h"
+#include "core/balancer/partition_store.h"
+#include "core/balancer/peer_messages.h"
+#include "model/settings.h"
+#include "model/time.h"
+
+namespace gorsevalve {
+
+enum class PartitionRole : std::uint8_t {
+  /// Datagrams go to the owner.
+  kNone = 0,
+  /// Owner under the present members; still fetching the state.
+  kAcquiring = 1,
+  /// Decides for the partition.
+  kOwner = 2,
+};
+
+/// A process that may hold the state of a partition.
+struct TakeoverSource {
+  Endpoint address;
+  /// False for a backup: it never decides, so datagrams are not passed to it.
+  bool was_owner = false;
+};
+
+/// A datagram that waits until the state has arrived.
+struct HeldDatagram {
+  ProxyHeader header;
+  Bytes payload;
+};
+
+/// Progress of fetching a partition's state.
+struct Acquisition {
+  /// Membership revision that made this process the owner.
+  Revision revision = 0;
+  std::vector<TakeoverSource> sources;
+  std::size_t source = 0;
+  std::uint32_t next_chunk = 0;
+  Instant last_sent;
+  Instant last_heard;
+  std::vector<HeldDatagram> held;
+
+  [[nodiscard]] bool has_source() const { return source < sources.size(); }
+};
+
+/// State that was frozen for the next owner.
+struct OutgoingTransfer {
+  Endpoint to;
+  /// Membership revision of the new owner.
+  Revision revision = 0;
+  std::vector<StateBatch> chunks;
+  HoldingState holding = HoldingState::kComplete;
+  Instant incomplete_until;
+  Instant last_asked;
+};
+
+/// Changes that the backup has not confirmed.
+struct UnconfirmedChanges {
+  absl::flat_hash_set<FlowKey> pins;
+  absl::flat_hash_set<RequestId> requests;
+  std::vector<RequestId> forgotten;
+
+  [[nodiscard]] bool empty() const {
+    return pins.empty() && requests.empty() && forgotten.empty();
+  }
+};
+
+/// A batch on its way to the backup.
+struct BatchInFlight {
+  ReplicateRequest message;
+  Instant next_send;
+  Duration interval{};
+};
+
+/// Copy of another owner's partition.
+struct StateCopy {
+  struct Pin {
+    PinRecord record;
+    Revision revision = 0;
+  };
+  struct Request {
+    RequestRecord record;
+    Revision revision = 0;
+  };
+  /// Revision since which its owner has this backup.
+  Revision revision = 0;
+  bool complete = false;
+  Instant incomplete_until;
+  Instant last_change;
+  absl::flat_hash_map<FlowKey, Pin> pins;
+  absl::flat_hash_map<RequestId, Request> requests;
+};
+
+struct Partition {
+  Partition(PartitionId number, RequestPool& pool) : id(number), store(pool) {}
+
+  PartitionId id;
+  PartitionRole role = PartitionRole::kNone;
+  PartitionStore store;
+
+  /// As owner: revision since which owner and backup are the same, and the backup.
+  Revision owner_revision = 0;
+  std::optional<Endpoint> backup;
+  /// Once-only requests are not run before this instant: records may have been lost.
+  Instant incomplete_until;
+  UnconfirmedChanges unconfirmed;
+  bool copy_pending = false;
+  std::optional<BatchInFlight> in_flight;
+
+  std::optional<Acquisition> acquisition;
+  std::optional<OutgoingTransfer> outgoing;
+
+  /// As backup: changes of owners under older revisions are refused.
+  Revision sealed_revision = 0;
+  std::unique_ptr<StateCopy> copy;
+};
+
+}  // namespace gorsevalve
--- /dev/null
+++ b/src/core/balancer/replication.cc
@@ -0,0 +1,250 @@
+#include "core/balancer/replication.h"
+
+#include <algorithm>
+#include <vector>
+
+#include "core/balancer/timing.h"
+
+namespace gorsevalve {
+
+std::uint32_t milliseconds_until(Instant until, Instant now) {
+  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(until - now).count();
+  return static_cast<std::uint32_t>(std::max<std::int64_t>(left, 0));
+}
+
+RequestRecord backup_form(const RequestRecord& record) {
+  RequestRecord copy = record;
+  if (copy.is_waiting()) {
+    copy.state = RequestState::kDispatched;
+  }
+  if (copy.kind != RequestKind::kFeed) {
+    copy.request.clear();
+  }
+  return copy;
+}
+
+std::size_t estimated_size(const RequestRecord& record) {
+  constexpr std::size_t kFixedPart = 80;
+  return kFixedPart + record.request.size() + record.answer.size();
+}
+
+void Replicator::record_now(Partition& partition, const RequestRecord& record, Instant now) {
+  PendingRecord pending;
+  pending.message.members_revision = partition.owner_revision;
+  pending.message.partition = partition.id;
+  pending.message.batch = ++last_batch_;
+  pending.message.changes.requests.push_back(backup_form(record));
+  pending.backup = *partition.backup;
+  pending.id = record.id;
+  pending.next_send = now + timing::kBatchRetry;
+  state_.output().send_peer(pending.backup, pending.message);
+  pending_.emplace(pending.message.batch, std::move(pending));
+}
+
+void Replicator::mark_changed(Partition& partition, const RequestRecord& record) {
+  partition.unconfirmed.requests.insert(record.id);
+}
+
+void Replicator::mark_forgotten(Partition& partition, const RequestRecord& record) {
+  partition.unconfirmed.requests.erase(record.id);
+  partition.unconfirmed.forgotten.push_back(record.id);
+}
+
+void Replicator::start_copy(Partition& partition) {
+  partition.in_flight.reset();
+  partition.copy_pending = partition.backup.has_value();
+  for (const auto& [id, record] : partition.store.requests()) {
+    if (record->kind != RequestKind::kRepeatable) {
+      partition.unconfirmed.requests.insert(id);
+    }
+  }
+}
+
+StateBatch Replicator::take_batch(Partition& partition) const {
+  StateBatch batch;
+  std::size_t size = 0;
+  auto& changes = partition.unconfirmed;
+  while (!changes.pins.empty() && size < kBatchSize) {
+    const FlowKey flow = *changes.pins.begin();
+    changes.pins.erase(changes.pins.begin());
+    if (const FlowRecord* record = partition.store.find_flow(flow)) {
+      batch.pins.push_back({flow, record->target, record->next_message_id});
+      size += kEstimatedPinSize;
+    }
+  }
+  while (!changes.requests.empty() && size < kBatchSize) {
+    const RequestId id = *changes.requests.begin();
+    changes.requests.erase(changes.requests.begin());
+    if (const RequestRecord* record = partition.store.find_request(id)) {
+      batch.requests.push_back(backup_form(*record));
+      size += estimated_size(*record);
+    }
+  }
+  while (!changes.forgotten.empty() && size < kBatchSize) {
+    batch.forgotten.push_back(changes.forgotten.back());
+    changes.forgotten.pop_back();
+    size += sizeof(RequestId);
+  }
+  return batch;
+}
+
+void Replicator::send_next_batch(Partition& partition, Instant now) {
+  if (!partition.backup) {
+    partition.unconfirmed = UnconfirmedChanges{};
+    return;
+  }
+  BatchInFlight batch;
+  batch.message.members_revision = partition.owner_revision;
+  batch.message.partition = partition.id;
+  batch.message.batch = ++last_batch_;
+  batch.message.changes = take_batch(partition);
+  batch.message.ends_copy = partition.copy_pending && partition.unconfirmed.empty();
+  batch.message.incomplete_for_ms = milliseconds_until(partition.incomplete_until, now);
+  batch.interval = timing::kBatchRetry;
+  batch.next_send = now + batch.interval;
+  state_.output().send_peer(*partition.backup, batch.message);
+  partition.in_flight = std::move(batch);
+}
+
+void Replicator::repeat_records(Instant now) {
+  absl::erase_if(pending_, [&](const auto& entry) {
+    Partition& partition = state_.partition(entry.second.message.partition);
+    const RequestRecord* record = partition.store.find_request(entry.second.id);
+    return record == nullptr || record->state != RequestState::kRecording;
+  });
+  for (auto& [batch, pending] : pending_) {
+    if (now >= pending.next_send) {
+      pending.next_send = now + timing::kBatchRetry;
+      state_.output().send_peer(pending.backup, pending.message);
+    }
+  }
+}
+
+void Replicator::on_tick(Instant now) {
+  repeat_records(now);
+  for (auto& [id, partition] : state_.partitions()) {
+    if (partition->role != PartitionRole::kOwner) {
+      continue;
+    }
+    if (partition->in_flight) {
+      BatchInFlight& batch = *partition->in_flight;
+      if (now >= batch.next_send) {
+        batch.interval = std::min(batch.interval * 2, timing::kBatchRetryMaximum);
+        batch.next_send = now + batch.interval;
+        state_.output().send_peer(*partition->backup, batch.message);
+      }
+    } else if (!partition->unconfirmed.empty() || partition->copy_pending) {
+      send_next_batch(*partition, now);
+    }
+  }
+}
+
+void Replicator::on_batch_confirmed(Partition& partition, Instant now) {
+  if (partition.in_flight->message.ends_copy) {
+    partition.copy_pending = false;
+  }
+  partition.in_flight.reset();
+  if (!partition.unconfirmed.empty() || partition.copy_pending) {
+    send_next_batch(partition, now);
+  }
+}
+
+void Replicator::on_reply(const ReplicateReply& reply, Instant now) {
+  Partition& partition = state_.partition(reply.partition);
+  if (partition.role != PartitionRole::kOwner ||
+      reply.members_revision != partition.owner_revision) {
+    return;
+  }
+  if (!reply.accepted) {
+    listener_.on_superseded(partition, now);
+    return;
+  }
+  if (partition.in_flight && partition.in_flight->message.batch == reply.batch) {
+    on_batch_confirmed(partition, now);
+    return;
+  }
+  const auto found = pending_.find(reply.batch);
+  if (found != pending_.end()) {
+    const RequestId id = found->second.id;
+    pending_.erase(found);
+    listener_.on_recorded(partition, id, now);
+  }
+}
+
+void BackupStore::on_request(const Endpoint& from, const ReplicateRequest& request,
+                               Instant now) {
+  Partition& partition = state_.partition(request.partition);
+  ReplicateReply reply{request.members_revision, request.partition, request.batch, false};
+  const bool sealed =
+      request.members_revision < partition.sealed_revision && !state_.faults().ignore_seal;
+  const bool outdated =
+      partition.copy != nullptr && request.members_revision < partition.copy->revision;
+  if (!sealed && !outdated) {
+    if (partition.copy == nullptr) {
+      partition.copy = std::make_unique<StateCopy>();
+    }
+    apply(*partition.copy, request);
+    partition.copy->last_change = now;
+    partition.copy->incomplete_until =
+        std::max(partition.copy->incomplete_until,
+                 now + std::chrono::milliseconds(request.incomplete_for_ms));
+    reply.accepted = true;
+  }
+  state_.output().send_peer(from, reply);
+}
+
+void BackupStore::apply(StateCopy& copy, const ReplicateRequest& request) {
+  if (request.members_revision > copy.revision) {
+    copy.revision = request.members_revision;
+    copy.complete = false;
+  }
+  for (const auto& pin : request.changes.pins) {
+    copy.pins[pin.flow] = {pin, request.members_revision};
+  }
+  for (const auto& record : request.changes.requests) {
+    auto& held = copy.requests[record.id];
+    if (record.version >= held.record.version) {
+      held.record = record;
+    }
+    held.revision = request.members_revision;
+  }
+  for (const auto& id : request.changes.forgotten) {
+    copy.requests.erase(id);
+  }
+  if (request.ends_copy) {
+    drop_older(copy);
+    copy.complete = true;
+  }
+}
+
+void BackupStore::drop_older(StateCopy& copy) {
+  const auto is_older = [&](const auto& entry) { return entry.second.revision < copy.revision; };
+  absl::erase_if(copy.pins, is_older);
+  absl::erase_if(copy.requests, is_older);
+}
+
+StateBatch BackupStore::content(const StateCopy& copy) {
+  StateBatch batch;
+  for (const auto& [flow, pin] : copy.pins) {
+    batch.pins.push_back(pin.record);
+  }
+  for (const auto& [id, request] : copy.requests) {
+    batch.requests.push_back(request.record);
+  }
+  return batch;
+}
+
+void BackupStore::drop_unused(Instant now) {
+  for (auto& [id, partition] : state_.partitions()) {
+    if (partition->copy == nullptr) {
+      continue;
+    }
+    const Member* backup = state_.view() == nullptr ? nullptr : state_.view()->backup(id);
+    const bool is_backup = backup != nullptr && backup->address == state_.self();
+    if (!is_backup && now - partition->copy->last_change > timing::kCopyLifetime) {
+      partition->copy.reset();
+    }
+  }
+}
+
+}  // namespace gorsevalve
--- /dev/null
+++ b/src/core/balancer/request_actions.cc
@@ -0,0 +1,197 @@
+#include "core/balancer/request_actions.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "core/balancer/timing.h"
+
+namespace gorsevalve {
+namespace {
+
+/// The second choice must be better than the first by this factor, so that most flows stay on the
+/// target that can be derived from their slot.
+constexpr double kSecondChoiceGain = 1.0;
+
+Duration request_timeout(const ServiceView* service) {
+  constexpr Duration kDefault = std::chrono::seconds(4);
+  return service == nullptr ? kDefault
+                            : std::chrono::milliseconds(service->service->request_timeout_ms);
+}
+
+}  // namespace
+
+RequestRecord& RequestActions::make_record(RequestContext& context, RequestState record_state) {
+  if (context.record == nullptr) {
+    RequestRecord* record = context.partition.store.new_request();
+    record->flow = context.flow;
+    record->id = state_.next_request_id();
+    record->token = context.token;
+    record->message_id = context.message_id;
+    record->type = context.type;
+    record->kind = context.kind;
+    record->continuation = context.continuation;
+    record->request.assign(context.message.begin(), context.message.end());
+    context.partition.store.index(record);
+    context.record = record;
+    state_.set_deadline(context.partition.id, *record,
+                        context.now + request_timeout(&context.service));
+  }
+  context.record->state = record_state;
+  if (context.target) {
+    context.record->target = *context.target;
+  }
+  ++context.record->version;
+  return *context.record;
+}
+
+void RequestActions::dispatch(Partition& partition, RequestRecord& record, ByteView message,
+                              Instant now) {
+  const ServiceView* service = state_.view()->service(record.flow.service);
+  if (service == nullptr || state_.view()->target(*service, record.target) == nullptr) {
+    ++state_.counters().dispatches_blocked;
+    return;
+  }
+  record.state = RequestState::kDispatched;
+  ++record.version;
+  ++state_.board().at(record.target).outstanding;
+  ++state_.counters().requests_dispatched;
+  if (record.kind != RequestKind::kRepeatable) {
+    replicator_.mark_changed(partition, record);
+  }
+  ProxyHeader header;
+  header.flow = record.flow;
+  header.request_id = record.id;
+  state_.output().send_to_target(record.target, header, message);
+  (void)now;
+}
+
+std::chrono::seconds RequestActions::retry_after(const Service& service,
+                                                 const RequestRecord& record) const {
+  const std::uint32_t span = service.retry_after_max_s - service.retry_after_min_s + 1;
+  const std::uint64_t jitter = (flow_hash(record.flow) ^ record.id.sequence) % span;
+  return std::chrono::seconds(service.retry_after_min_s + jitter);
+}
+
+void RequestActions::give_up(Partition& partition, RequestRecord& record, Execution execution,
+                             GiveUpReason reason, Instant now) {
+  if (record.is_outstanding()) {
+    // Tell the target that nobody waits any more (RFC 7252 section 4.2: Reset).
+    ProxyHeader header;
+    header.flow = record.flow;
+    header.request_id = record.id;
+    state_.output().send_to_target(record.target, header,
+                                   encode_empty(CoapType::kReset, record.message_id));
+    leave_target(record);
+  }
+  const ServiceView* service = state_.view()->service(record.flow.service);
+  const auto wait =
+      service == nullptr ? std::chrono::seconds(1) : retry_after(*service->service, record);
+  record.state = RequestState::kGivenUp;
+  record.execution = execution;
+  record.retry_after_s = static_cast<std::uint8_t>(std::min<std::int64_t>(wait.count(), 255));
+  ++record.version;
+  auto& counters = state_.counters();
+  ++(execution == Execution::kNotRun ? counters.verdicts_not_run : counters.verdicts_may_have_run);
+  (void)reason;
+  const bool once_only = record.kind == RequestKind::kOnceOnly;
+  if (once_only) {
+    replicator_.mark_changed(partition, record);
+  }
+  state_.set_deadline(partition.id, record,
+                      now + (once_only ? timing::kExchangeLifetime : timing::kGivenUpMemory));
+  repeat_verdict(record);
+}
+
+void RequestActions::repeat_verdict(const RequestRecord& record) {
+  Verdict verdict;
+  verdict.execution = record.execution;
+  verdict.retry_after = std::chrono::seconds(record.retry_after_s);
+  state_.output().send_to_caller(
+      record.flow, encode_verdict(verdict, record.type, record.message_id, record.token));
+}
+
+void RequestActions::move_feed(Partition& partition, RequestRecord& record, const Endpoint& target,
+                               Instant now) {
+  FlowRecord* flow = partition.store.find_flow(record.flow);
+  if (flow == nullptr || record.request.empty()) {
+    return;
+  }
+  leave_target(record);
+  partition.store.change_id(&record, state_.next_request_id());
+  record.target = target;
+  // The target counts from its own value; the caller's sequence goes on from here.
+  record.feed.offset = 0;
+  record.feed.last_in = 0;
+  record.feed.moved = true;
+  Bytes message = record.request;
+  set_coap_message_id(message, flow->next_message_id++);
+  dispatch(partition, record, message, now);
+  record.state = RequestState::kAnswered;
+  --state_.board().at(target).outstanding;
+  state_.set_deadline(partition.id, record, now + timing::kFeedIdle);
+  ++state_.counters().feeds_moved;
+}
+
+void RequestActions::leave_target(const RequestRecord& record) {
+  if (record.is_outstanding()) {
+    --state_.board().at(record.target).outstanding;
+  }
+}
+
+void RequestActions::forget(Partition& partition, RequestRecord& record) {
+  leave_target(record);
+  if (record.kind != RequestKind::kRepeatable) {
+    replicator_.mark_forgotten(partition, record);
+  }
+  partition.store.erase_request(&record);
+}
+
+bool RequestActions::takes_new_flow(const Target& target) const {
+  if (target.draining) {
+    return false;
+  }
+  const TargetState* state = state_.board().find(target.address);
+  if (state == nullptr) {
+    return true;
+  }
+  // Each owner may use the part of the limit that matches its part of the partitions.
+  const double share = std::max(std::floor(target.max_connections * state_.owned_share()), 1.0);
+  return state->healthy && state->flows < share;
+}
+
+const Target* RequestActions::least_loaded(const ServiceView& service, Instant now,
+                                           std::optional<Endpoint> avoid) const {
+  const Target* best = nullptr;
+  double best_load = 0;
+  for (const auto& target : service.service->targets) {
+    if (!takes_new_flow(target) || target.address == avoid) {
+      continue;
+    }
+    const double load = state_.board().load(target, state_.owned_share(), now);
+    if (best == nullptr || load < best_load) {
+      best = &target;
+      best_load = load;
+    }
+  }
+  return best;
+}
+
+const Target* RequestActions::place(const ServiceView& service, const FlowKey& flow, Instant now,
+                                    std::optional<Endpoint> avoid) {
+  const Target* first = state_.view()->first_choice(service, flow);
+  const Target* second = state_.view()->second_choice(service, flow);
+  const auto usable = [&](const Target* target) {
+    return target != nullptr && takes_new_flow(*target) && target->address != avoid;
+  };
+  if (!usable(first) && !usable(second)) {
+    return least_loaded(service, now, avoid);
+  }
+  if (!usable(first) || !usable(second) || first == second) {
+    return usable(first) ? first : second;
+  }
+  const double first_load = state_.board().load(*first, state_.owned_share(), now);
+  const double second_load = state_.board().load(*second, state_.owned_share(), now);
+  return second_load * kSecondChoiceGain < first_load ? second : first;
+}
+
+}  // namespace gorsevalve
--- /dev/null
+++ b/src/core/balancer/request_actions.h
@@ -0,0 +1,61 @@
+/// Steps that several filters and the answer path share: making records, sending to targets, giving
+/// up, and going on with requests that wait.
+#pragma once
+
+#include "core/balancer/flow_binding.h"
+#include "core/balancer/replication.h"
+#include "core/balancer/request_context.h"
+
+namespace gorsevalve {
+
+class RequestActions {
+ public:
+  RequestActions(BalancerState& state, FlowBinding& binding, Replicator& replicator)
+      : state_(state), binding_(binding), replicator_(replicator) {}
+
+  /// Makes the record of a request, unless it has one, and puts it into a state.
+  RequestRecord& make_record(RequestContext& context, RequestState record_state);
+
+  /// Sends a request to its target and counts it. The caller has checked that the service has the
+  /// target; a target that it does not have is never sent to.
+  void dispatch(Partition& partition, RequestRecord& record, ByteView message, Instant now);
+
+  /// Gives up on a request that has a record: answers the caller at once and remembers the verdict.
+  void give_up(Partition& partition, RequestRecord& record, Execution execution,
+               GiveUpReason reason, Instant now);
+
+  /// Sends the verdict that was given before.
+  void repeat_verdict(const RequestRecord& record);
+
+  /// Moves a feed to another target: registers it there under a new id.
+  void move_feed(Partition& partition, RequestRecord& record, const Endpoint& target, Instant now);
+
+  /// The request no longer counts against its target.
+  void leave_target(const RequestRecord& record);
+
+  /// Erases a record; the backup is told when it has a copy.
+  void forget(Partition& partition, RequestRecord& record);
+
+  /// Target for new work of a flow by its two slots and the loads; nothing when none takes work.
+  /// `avoid` is not chosen.
+  [[nodiscard]] const Target* place(const ServiceView& service, const FlowKey& flow, Instant now,
+                                    std::optional<Endpoint> avoid);
+
+  /// Time until a verdict's caller should come back, spread over the service's bounds.
+  [[nodiscard]] std::chrono::seconds retry_after(const Service& service,
+                                                 const RequestRecord& record) const;
+
+  FlowBinding& binding() { return binding_; }
+  Replicator& replicator() { return replicator_; }
+
+ private:
+  [[nodiscard]] bool takes_new_flow(const Target& target) const;
+  [[nodiscard]] const Target* least_loaded(const ServiceView& service, Instant now,
+                                           std::optional<Endpoint> avoid) const;
+
+  BalancerState& state_;
+  FlowBinding& binding_;
+  Replicator& replicator_;
+};
+
+}  // namespace gorsevalve
--- /dev/null
+++ b/src/core/balancer/request_filters.cc
@@ -0,0 +1,271 @@
+#include "core/balancer/request_filters.h"
+
+#include <algorithm>
+
+#include "core/balancer/timing.h"
+
+namespace gorsevalve {
+namespace {
+
+bool contains(const std::vector<std::uint64_t>& hashes, std::uint64_t hash) {
+  return std::find(hashes.begin(), hashes.end(), hash) != hashes.end();
+}
+
+}  // namespace
+
+WaitClass wait_class(RequestKind kind) {
+  switch (kind) {
+    case RequestKind::kFeed:
+      return WaitClass::kFeed;
+    case RequestKind::kOnceOnly:
+      return WaitClass::kOnceOnly;
+    case RequestKind::kRepeatable:
+      return WaitClass::kOther;
+  }
+  return WaitClass::kOther;
+}
+
+RequestKind classify(const CoapSummary& summary, const ServiceView& service) {
+  if (contains(service.once_only_paths, summary.path_hash)) {
+    return RequestKind::kOnceOnly;
+  }
+  const bool idempotent =
+      summary.code != coap_code::kPost && summary.code != coap_code::kPatch;
+  if (!idempotent && !contains(service.repeatable_paths, summary.path_hash)) {
+    return RequestKind::kOnceOnly;
+  }
+  const bool registers = summary.observe && *summary.observe == 0 &&
+                         (summary.code == coap_code::kGet || summary.code == coap_code::kFetch);
+  return registers ? RequestKind::kFeed : RequestKind::kRepeatable;
+}
+
+FilterStatus DuplicateFilter::on_request(RequestContext& context) {
+  RequestRecord* record = context.partition.store.find_message(context.flow, context.message_id);
+  if (record == nullptr || record->token != context.token) {
+    return FilterStatus::kContinue;
+  }
+  ++state_.counters().requests_duplicate;
+  repeat(context, *record);
+  return FilterStatus::kStop;
+}
+
+void DuplicateFilter::repeat(RequestContext& context, RequestRecord& record) {
+  const bool once_only = record.kind == RequestKind::kOnceOnly;
+  switch (record.state) {
+    case RequestState::kRecording:
+    case RequestState::kQueued:
+      return;
+    case RequestState::kGivenUp:
+      actions_.repeat_verdict(record);
+      return;
+    case RequestState::kAnswered:
+      if (once_only) {
+        state_.output().send_to_caller(record.flow, record.answer);
+        return;
+      }
+      break;
+    case RequestState::kDispatched:
+      if (once_only) {
+        return;
+      }
+      break;
+  }
+  // Repeatable, or a registration whose first answer may be lost: the same target gets it again.
+  if (state_.view()->target(context.service, record.target) != nullptr) {
+    ProxyHeader header;
+    header.flow = record.flow;
+    header.request_id = record.id;
+    state_.output().send_to_target(record.target, header, context.message);
+  }
+}
+
+FilterStatus FeedFilter::on_request(RequestContext& context) {
+  if (!context.observe) {
+    return FilterStatus::kContinue;
+  }
+  RequestRecord* feed = context.partition.store.find_token(context.flow, context.token);
+  const bool open = feed != nullptr && feed->kind == RequestKind::kFeed &&
+                    feed->state == RequestState::kAnswered;
+  if (!open || state_.view()->target(context.service, feed->target) == nullptr) {
+    return FilterStatus::kContinue;
+  }
+  feed->message_id = context.message_id;
+  feed->type = context.type;
+  feed->request.assign(context.message.begin(), context.message.end());
+  context.partition.store.index(feed);
+  ProxyHeader header;
+  header.flow = context.flow;
+  header.request_id = feed->id;
+  state_.output().send_to_target(feed->target, header, context.message);
+  return FilterStatus::kStop;
+}
+
+FilterStatus LeaseFilter::on_request(RequestContext& context) {
+  if (context.kind != RequestKind::kOnceOnly) {
+    return FilterStatus::kContinue;
+  }
+  const bool has_lease = context.now < state_.lease_until() || state_.faults().skip_lease_check;
+  const bool complete = context.now >= context.partition.incomplete_until ||
+                        state_.faults().skip_incomplete_check;
+  if (has_lease && complete) {
+    return FilterStatus::kContinue;
+  }
+  RequestRecord& record = actions_.make_record(context, RequestState::kRecording);
+  const GiveUpReason reason =
+      has_lease ? GiveUpReason::kIncompleteTakeover : GiveUpReason::kNoLease;
+  actions_.give_up(context.partition, record, Execution::kMayHaveRun, reason, context.now);
+  return FilterStatus::kStop;
+}
+
+bool PlacementFilter::keeps_target(const RequestContext& context, const FlowRecord& flow) const {
+  const Target* target = state_.view()->target(context.service, flow.target);
+  if (target == nullptr) {
+    return false;
+  }
+  const TargetState* state = state_.board().find(flow.target);
+  const bool healthy = state == nullptr || state->healthy;
+  return healthy && (!target->draining || context.continuation);
+}
+
+FilterStatus PlacementFilter::on_request(RequestContext& context) {
+  FlowBinding& binding = actions_.binding();
+  const FlowRecord* flow = binding.touch(context.partition, context.flow, context.now);
+  if (flow != nullptr && keeps_target(context, *flow)) {
+    context.target = flow->target;
+    return FilterStatus::kContinue;
+  }
+  const Target* target =
+      actions_.place(context.service, context.flow, context.now, std::nullopt);
+  if (target != nullptr) {
+    binding.bind(context.partition, context.flow, target->address, context.now);
+    context.target = target->address;
+    ++state_.counters().flows_placed;
+    if (target != state_.view()->first_choice(context.service, context.flow)) {
+      ++state_.counters().flows_second_choice;
+    }
+  }
+  return FilterStatus::kContinue;
+}
+
+FilterStatus RecordFilter::on_request(RequestContext& context) {
+  if (context.kind != RequestKind::kOnceOnly) {
+    return FilterStatus::kContinue;
+  }
+  RequestRecord& record = actions_.make_record(context, RequestState::kRecording);
+  if (!context.partition.backup || state_.faults().skip_record_before_dispatch) {
+    return FilterStatus::kContinue;
+  }
+  state_.set_deadline(context.partition.id, record, context.now + timing::kRecordTimeout);
+  actions_.replicator().record_now(context.partition, record, context.now);
+  return FilterStatus::kStop;
+}
+
+bool AdmissionFilter::displace_lower(TargetState& target, WaitClass wait_class, Instant now) {
+  for (std::size_t lower = kWaitClasses - 1; lower > static_cast<std::size_t>(wait_class);
+       --lower) {
+    auto& queue = target.waiting[lower];
+    for (auto waiting = queue.rbegin(); waiting != queue.rend(); ++waiting) {
+      Partition& partition = state_.partition(waiting->partition);
+      RequestRecord* record = partition.store.find_request(waiting->id);
+      if (record == nullptr || record->continuation) {
+        continue;
+      }
+      queue.erase(std::next(waiting).base());
+      actions_.give_up(partition, *record, Execution::kNotRun, GiveUpReason::kOverload, now);
+      return true;
+    }
+  }
+  return false;
+}
+
+FilterStatus AdmissionFilter::on_request(RequestContext& context) {
+  const bool exists = context.target &&
+                      state_.view()->target(context.service, *context.target) != nullptr;
+  if (!exists) {
+    RequestRecord& record = actions_.make_record(context, RequestState::kQueued);
+    actions_.give_up(context.partition, record, Execution::kNotRun, GiveUpReason::kNoTarget,
+                     context.now);
+    return FilterStatus::kStop;
+  }
+  TargetState& target = state_.board().at(*context.target);
+  if (state_.board().has_room(*context.target)) {
+    return FilterStatus::kContinue;
+  }
+  RequestRecord& record = actions_.make_record(context, RequestState::kQueued);
+  const WaitClass own_class = wait_class(context.kind);
+  const bool full = target.waiting_count() >= context.service.service->queue_limit;
+  if (full && !context.continuation && !displace_lower(target, own_class, context.now)) {
+    actions_.give_up(context.partition, record, Execution::kNotRun, GiveUpReason::kOverload,
+                     context.now);
+    return FilterStatus::kStop;
+  }
+  target.waiting[static_cast<std::size_t>(own_class)].push_back(
+      {context.partition.id, record.id});
+  return FilterStatus::kStop;
+}
+
+FilterStatus DispatchFilter::on_request(RequestContext& context) {
+  RequestRecord& record = actions_.make_record(context, RequestState::kQueued);
+  const bool has_lease = context.now < state_.lease_until() || state_.faults().skip_lease_check;
+  if (context.kind == RequestKind::kOnceOnly && !has_lease) {
+    actions_.give_up(context.partition, record, Execution::kMayHaveRun, GiveUpReason::kNoLease,
+                     context.now);
+    return FilterStatus::kStop;
+  }
+  actions_.dispatch(context.partition, record, context.message, context.now);
+  return FilterStatus::kContinue;
+}
+
+RequestChain::RequestChain(BalancerState& state, RequestActions& actions)
+    : state_(state),
+      filters_{std::make_unique<DuplicateFilter>(state, actions),
+               std::make_unique<FeedFilter>(state),
+               std::make_unique<LeaseFilter>(state, actions),
+               std::make_unique<PlacementFilter>(state, actions),
+               std::make_unique<RecordFilter>(state, actions),
+               std::make_unique<AdmissionFilter>(state, actions),
+               std::make_unique<DispatchFilter>(state, actions)} {}
+
+void RequestChain::run(RequestContext& context, ChainEntry entry) {
+  for (auto i = static_cast<std::size_t>(entry); i < filters_.size(); ++i) {
+    if (filters_[i]->on_request(context) == FilterStatus::kStop) {
+      return;
+    }
+  }
+}
+
+void RequestChain::resume(Partition& partition, RequestRecord& record, ChainEntry entry,
+                          Instant now) {
+  const ServiceView* service = state_.view()->service(record.flow.service);
+  if (service == nullptr) {
+    return;
+  }
+  RequestContext context(partition, *service, record.flow, record.request, now);
+  context.token = record.token;
+  context.message_id = record.message_id;
+  context.type = record.type;
+  context.kind = record.kind;
+  context.continuation = record.continuation;
+  context.record = &record;
+  if (record.target != Endpoint{}) {
+    context.target = record.target;
+  }
+  run(context, entry);
+}
+
+void RequestChain::drain_queue(const Endpoint& target, Instant now) {
+  TargetState& target_state = state_.board().at(target);
+  for (auto& queue : target_state.waiting) {
+    while (!queue.empty() && state_.board().has_room(target)) {
+      const WaitingRequest waiting = queue.front();
+      queue.pop_front();
+      Partition& partition = state_.partition(waiting.partition);
+      RequestRecord* record = partition.store.find_request(waiting.id);
+      if (record != nullptr && record->state == RequestState::kQueued) {
+        resume(partition, *record, ChainEntry::kDispatch, now);
+      }
+    }
+  }
+}
+
+}  // namespace gorsevalve
--- /dev/null
+++ b/src/core/balancer/target_board.cc
@@ -0,0 +1,112 @@
+#include "core/balancer/target_board.h"
+
+#include <algorithm>
+
+namespace gorsevalve {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr double kMinWindow = 1;
+constexpr double kMaxWindow = 256;
+constexpr double kWindowDecrease = 0.5;
+/// At most one decrease in this time, so that one burst of refusals counts once.
+constexpr Duration kDecreaseInterval = milliseconds(100);
+/// A cold target gets its full share after this time, starting from kColdShare.
+constexpr Duration kWarmUp = seconds(20);
+constexpr double kColdShare = 0.1;
+/// A report is ignored after this age.
+constexpr Duration kReportLifetime = seconds(10);
+/// How much of the difference between report and own view is believed.
+constexpr double kReportTrust = 0.5;
+
+double warm_up_share(const TargetState& state, Instant now) {
+  if (!state.starts_cold) {
+    return 1;
+  }
+  const double age = std::chrono::duration<double>(now - state.first_seen).count();
+  const double full = std::chrono::duration<double>(kWarmUp).count();
+  return std::clamp(age / full, kColdShare, 1.0);
+}
+
+}  // namespace
+
+std::size_t TargetState::waiting_count() const {
+  std::size_t count = 0;
+  for (const auto& queue : waiting) {
+    count += queue.size();
+  }
+  return count;
+}
+
+void TargetBoard::adopt(const FleetView& view, Instant now) {
+  for (const auto& service : view.state().settings.services) {
+    for (const auto& target : service.targets) {
+      const auto [found, is_new] = targets_.try_emplace(target.address);
+      if (is_new) {
+        found->second.first_seen = now;
+        found->second.starts_cold = has_view_;
+        found->second.window = std::max<double>(target.slots, kMinWindow);
+      }
+    }
+  }
+  has_view_ = has_view_ || !view.state().settings.services.empty();
+}
+
+TargetState& TargetBoard::at(const Endpoint& target) { return targets_[target]; }
+
+const TargetState* TargetBoard::find(const Endpoint& target) const {
+  const auto found = targets_.find(target);
+  return found == targets_.end() ? nullptr : &found->second;
+}
+
+bool TargetBoard::report(const TargetReport& report, Instant now) {
+  TargetState& state = at(report.target);
+  if (!report.healthy) {
+    ++state.failed_polls;
+    const bool went_down = state.healthy && state.failed_polls >= kPollsUntilDown;
+    state.healthy = state.healthy && !went_down;
+    return went_down;
+  }
+  state.failed_polls = 0;
+  state.healthy = true;
+  state.report = report;
+  state.reported_at = now;
+  state.has_report = true;
+  return false;
+}
+
+void TargetBoard::on_answer(const Endpoint& target, bool refused, Instant now) {
+  TargetState& state = at(target);
+  if (!refused) {
+    state.window = std::min(state.window + 1 / state.window, kMaxWindow);
+    return;
+  }
+  if (now - state.last_decrease >= kDecreaseInterval) {
+    state.window = std::max(state.window * kWindowDecrease, kMinWindow);
+    state.last_decrease = now;
+  }
+}
+
+bool TargetBoard::has_room(const Endpoint& target) const {
+  const TargetState* state = find(target);
+  return state == nullptr || static_cast<double>(state->outstanding) + 1 <= state->window;
+}
+
+double TargetBoard::load(const Target& target, double owned_share, Instant now) const {
+  const TargetState* state = find(target.address);
+  if (state == nullptr) {
+    return 0;
+  }
+  double load = state->flows + state->outstanding + static_cast<double>(state->waiting_count());
+  if (state->has_report && now - state->reported_at < kReportLifetime) {
+    // The share of the reported total that this balancer would expect to have caused itself.
+    const double expected = state->report.connections * owned_share;
+    load += kReportTrust * (expected - load);
+  }
+  const double share = target.weight * warm_up_share(*state, now);
+  return (load + 1) / std::max(share, 1e-9);
+}
+
+}  // namespace gorsevalve
--- /dev/null
+++ b/src/core/balancer/timing.h
@@ -0,0 +1,46 @@
+/// Time constants of the balancer core, with the rule that each follows from.
+#pragma once
+
+#include <chrono>
+
+#include "model/time.h"
+
+namespace gorsevalve::timing {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// How long a once-only request may wait for the backup's confirmation.
+constexpr Duration kRecordTimeout = milliseconds(400);
+/// First and longest interval between two sends of an unconfirmed batch.
+constexpr Duration kBatchRetry = milliseconds(60);
+constexpr Duration kBatchRetryMaximum = seconds(1);
+
+/// Interval between two TakeoverRequests, and how long a silent source is asked.
+constexpr Duration kTakeoverRetry = milliseconds(40);
+constexpr Duration kTakeoverSourceTimeout = milliseconds(1000);
+/// State frozen for a new owner is dropped this long after it last asked.
+constexpr Duration kOutgoingLifetime = seconds(60);
+
+/// Longest time over which a caller retransmits one request (RFC 7252 section 4.8.2,
+/// MAX_TRANSMIT_SPAN).
+constexpr Duration kMaxTransmitSpan = seconds(45);
+/// Time for which a message id identifies one request (RFC 7252 section 4.8.2, EXCHANGE_LIFETIME).
+constexpr Duration kExchangeLifetime = seconds(247);
+/// Longest lease of a balancer (see core/control/timing.h, which asserts that it is kept).
+constexpr Duration kLease = seconds(10);
+/// After a takeover that may lack records, once-only requests are not run for this long: any copy of
+/// a request that the lost owner ran has been sent by then, and its lease has ended.
+constexpr Duration kIncompleteTakeover = seconds(60);
+static_assert(kIncompleteTakeover > kMaxTransmitSpan && kIncompleteTakeover > kLease);
+
+/// Verdicts on repeatable requests are remembered this long, to drop late answers.
+constexpr Duration kGivenUpMemory = seconds(20);
+/// A flow without feeds and requests is forgotten after this time.
+constexpr Duration kFlowIdle = seconds(300);
+/// A feed that neither side used for this long is forgotten.
+constexpr Duration kFeedIdle = seconds(3600);
+/// A copy that is no longer updated is dropped after this time.
+constexpr Duration kCopyLifetime = seconds(300);
+
+}  // namespace gorsevalve::timing
--- /dev/null
+++ b/src/core/control/control_node.cc
@@ -0,0 +1,229 @@
+#include "core/control/control_node.h"
+
+#include <algorithm>
+
+#include "codec/archive.h"
+#include "core/control/timing.h"
+
+namespace gorsevalve {
+namespace {
+
+constexpr std::size_t kReportsRemembered = 16;
+constexpr Duration kNodeMemory = std::chrono::seconds(60);
+
+}  // namespace
+
+ControlNode::ControlNode(ReplicaConfig config, ReplicaSet first_replicas, StoredReplica stored,
+                         std::uint32_t partitions, ReplicaStorage& storage, ControlOutput& output,
+                         Instant now)
+    : config_(config),
+      state_(partitions),
+      output_(output),
+      replica_(std::make_unique<Replica>(std::move(config), std::move(first_replicas),
+                                         std::move(stored), storage, output, state_, now)) {}
+
+void ControlNode::on_replica_message(const ReplicaMessage& message, Instant now) {
+  replica_->on_message(message, now);
+  push_updates(now);
+}
+
+void ControlNode::on_node_message(const Endpoint& from, const NodeMessage& message, Instant now) {
+  std::visit([&](const auto& body) { handle(from, body, now); }, message);
+}
+
+Duration ControlNode::lease_left(Instant now) const {
+  if (replica_->is_leader()) {
+    return replica_->has_lease(now) ? control_timing::kBalancerLease : Duration::zero();
+  }
+  if (!confirmed_report_) {
+    return Duration::zero();
+  }
+  return std::max(*confirmed_report_ + control_timing::kBalancerLease - now, Duration::zero());
+}
+
+void ControlNode::handle(const Endpoint& from, const NodeHeartbeat& heartbeat, Instant now) {
+  nodes_.on_heartbeat(heartbeat, now);
+  // A lease is for members only: whoever is not in the members, or was removed, has none.
+  const auto& members = state_.fleet().members;
+  const bool is_member = std::any_of(members.begin(), members.end(), [&](const Member& member) {
+    return member.address == heartbeat.member.address &&
+           member.incarnation == heartbeat.member.incarnation;
+  });
+  HeartbeatReply reply;
+  reply.sequence = heartbeat.sequence;
+  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(lease_left(now));
+  reply.lease_ms = is_member ? static_cast<std::uint32_t>(left.count()) : 0;
+  reply.may_stop = may_stop_.contains(heartbeat.member.address) ||
+                   (!is_member && heartbeat.member.state == MemberState::kLeaving);
+  output_.send_node(from, reply);
+  if (heartbeat.revision != state_.fleet().revision || heartbeat.digest != state_.digest()) {
+    send_update(from, heartbeat.revision, heartbeat.digest);
+  }
+  pushed_[from] = state_.fleet().revision;
+}
+
+void ControlNode::send_update(const Endpoint& to, Revision revision, std::uint64_t digest) {
+  const FleetState& fleet = state_.fleet();
+  if (revision > fleet.revision) {
+    return;
+  }
+  FleetUpdate update;
+  update.digest = state_.digest();
+  // A node whose state differs at the same revision, or is too old for the deltas, gets all of it.
+  bool whole = revision == 0 || (revision == fleet.revision && digest != state_.digest());
+  for (Revision at = revision; !whole && at != fleet.revision;) {
+    const FleetDelta* delta = state_.delta_after(at);
+    whole = delta == nullptr;
+    if (delta != nullptr) {
+      update.deltas.push_back(*delta);
+      at = delta->revision;
+    }
+  }
+  if (whole) {
+    update.deltas.clear();
+    update.is_whole = true;
+    update.whole = fleet;
+  }
+  output_.send_node(to, update);
+}
+
+void ControlNode::push_updates(Instant now) {
+  const Revision revision = state_.fleet().revision;
+  if (revision == pushed_revision_) {
+    return;
+  }
+  pushed_revision_ = revision;
+  for (auto& [address, pushed] : pushed_) {
+    const NodeEntry* entry = nodes_.find(address);
+    const bool local = entry != nullptr && entry->is_local &&
+                       now - entry->heard_at < control_timing::kMemberTimeout;
+    if (local && pushed < revision) {
+      send_update(address, pushed, 0);
+      pushed = revision;
+    }
+  }
+}
+
+void ControlNode::handle(const Endpoint& /*from*/, const HeartbeatReply& /*reply*/,
+                         Instant /*now*/) {}
+
+void ControlNode::handle(const Endpoint& /*from*/, const FleetUpdate& /*update*/,
+                         Instant /*now*/) {}
+
+void ControlNode::handle(const Endpoint& from, const ReplicaReport& report, Instant now) {
+  if (!replica_->has_lease(now)) {
+    return;
+  }
+  nodes_.on_report(report, now);
+  const std::vector<Endpoint> may_stop = MembershipController::may_stop(state_.fleet(), nodes_);
+  output_.send_node(from, ReportReply{report.sequence, may_stop});
+}
+
+void ControlNode::handle(const Endpoint& /*from*/, const ReportReply& reply, Instant /*now*/) {
+  const auto sent = reports_sent_.find(reply.sequence);
+  if (sent == reports_sent_.end()) {
+    return;
+  }
+  confirmed_report_ = std::max(confirmed_report_.value_or(Instant{}), sent->second);
+  may_stop_ = std::set<Endpoint>(reply.may_stop.begin(), reply.may_stop.end());
+}
+
+void ControlNode::report_to_leader(Instant now) {
+  const std::optional<Endpoint> leader = replica_->leader_address();
+  if (now < next_report_ || !leader || replica_->is_leader()) {
+    return;
+  }
+  next_report_ = now + control_timing::kHeartbeatInterval;
+  const ReplicaReport report{++report_sequence_, config_.address, nodes_.local_nodes(now)};
+  reports_sent_[report.sequence] = now;
+  if (reports_sent_.size() > kReportsRemembered) {
+    reports_sent_.erase(reports_sent_.begin());
+  }
+  output_.send_node(*leader, report);
+}
+
+void ControlNode::lead(Instant now) {
+  if (!replica_->has_lease(now)) {
+    return;
+  }
+  if (!was_leader_) {
+    was_leader_ = true;
+    pending_members_ = 0;
+    membership_.on_elected(now);
+  }
+  const std::vector<Endpoint> stop = MembershipController::may_stop(state_.fleet(), nodes_);
+  may_stop_ = std::set<Endpoint>(stop.begin(), stop.end());
+  if (pending_members_ > replica_->commit_index()) {
+    return;
+  }
+  const auto change = membership_.next_change(state_.fleet(), nodes_, now);
+  if (change) {
+    pending_members_ =
+        replica_->propose(EntryType::kMembers, encode_archive(*change), now).value_or(0);
+  }
+}
+
+void ControlNode::on_tick(Instant now) {
+  replica_->on_tick(now);
+  if (replica_->is_leader()) {
+    lead(now);
+  } else {
+    was_leader_ = false;
+    report_to_leader(now);
+  }
+  nodes_.drop_older(now, kNodeMemory);
+  push_updates(now);
+}
+
+SubmissionResult ControlNode::submit(SettingsCommand command, Instant now) {
+  const SubmissionId id = command.id;
+  SubmissionResult known = outcome(id, now);
+  if (known.status != ControlStatus::kPending) {
+    return known;
+  }
+  const bool proposed =
+      replica_->propose(EntryType::kSettings, encode_archive(command), now).has_value();
+  if (!proposed) {
+    known.status = ControlStatus::kNotLeader;
+    return known;
+  }
+  if (faults_.accept_before_commit) {
+    known.status = ControlStatus::kOk;
+    known.outcome = {id, true, replica_->last_index(), id};
+    return known;
+  }
+  push_updates(now);
+  return outcome(id, now);
+}
+
+SubmissionResult ControlNode::outcome(const SubmissionId& id, Instant now) const {
+  SubmissionResult result;
+  if (!replica_->has_lease(now)) {
+    result.status = ControlStatus::kNotLeader;
+    result.leader = replica_->is_leader() ? std::nullopt : replica_->leader_address();
+    return result;
+  }
+  if (const auto outcome = state_.outcome(id)) {
+    result.status = ControlStatus::kOk;
+    result.outcome = *outcome;
+  }
+  return result;
+}
+
+ForceStatus ControlNode::force_status() const {
+  ForceStatus status;
+  status.revision = state_.fleet().settings_revision;
+  for (const auto& member : state_.fleet().members) {
+    ++status.members;
+    const NodeEntry* entry = nodes_.find(member.address);
+    const bool in_force = entry != nullptr && entry->status.revision >= status.revision;
+    if (in_force) {
+      ++status.in_force;
+    } else {
+      status.lagging.push_back(member);
+    }
+  }
+  return status;
+}
+
+}  // namespace gorsevalve
--- /dev/null
+++ b/src/core/control/control_node.h
@@ -0,0 +1,111 @@
+/// One control process without its sockets: a replica of the log, the state it drives, and the
+/// sessions with balancers and other replicas.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+
+#include "core/control/control_state.h"
+#include "core/control/membership.h"
+#include "core/control/node_messages.h"
+#include "core/control/node_registry.h"
+#include "core/control/replica.h"
+
+namespace gorsevalve {
+
+/// What a control process sends about the fleet.
+class ControlOutput : public ReplicaOutput {
+ public:
+  /// To a balancer, or to another replica, by its address.
+  virtual void send_node(const Endpoint& to, const NodeMessage& message) = 0;
+};
+
+/// Deliberate faults, for the test that shows that the checkers can fail. All off in programs.
+struct ControlFaults {
+  bool accept_before_commit = false;
+};
+
+/// Answer to a submission or a read.
+enum class ControlStatus : std::uint8_t {
+  kOk = 0,
+  /// This replica is not the leader; ask the one named.
+  kNotLeader = 1,
+  /// Taken, not decided yet: ask again with the same id.
+  kPending = 2,
+};
+
+struct SubmissionResult {
+  ControlStatus status = ControlStatus::kPending;
+  std::optional<Endpoint> leader;
+  SubmissionOutcome outcome;
+};
+
+/// How far a settings revision has come.
+struct ForceStatus {
+  Revision revision = 0;
+  std::size_t members = 0;
+  std::size_t in_force = 0;
+  std::vector<Member> lagging;
+};
+
+class ControlNode {
+ public:
+  ControlNode(ReplicaConfig config, ReplicaSet first_replicas, StoredReplica stored,
+              std::uint32_t partitions, ReplicaStorage& storage, ControlOutput& output,
+              Instant now);
+
+  void on_replica_message(const ReplicaMessage& message, Instant now);
+  void on_node_message(const Endpoint& from, const NodeMessage& message, Instant now);
+  void on_tick(Instant now);
+
+  /// Submits settings, or asks for the outcome of the same submission again.
+  SubmissionResult submit(SettingsCommand command, Instant now);
+
+  /// The outcome of a submission, if this replica has proof of leadership.
+  [[nodiscard]] SubmissionResult outcome(const SubmissionId& id, Instant now) const;
+
+  /// How many members have the present settings in force; meaningful on the leader.
+  [[nodiscard]] ForceStatus force_status() const;
+
+  [[nodiscard]] const Replica& replica() const { return *replica_; }
+  [[nodiscard]] const ControlState& state() const { return state_; }
+  [[nodiscard]] const NodeRegistry& nodes() const { return nodes_; }
+
+  void set_faults(const ControlFaults& faults) { faults_ = faults; }
+
+ private:
+  void handle(const Endpoint& from, const NodeHeartbeat& heartbeat, Instant now);
+  void handle(const Endpoint& from, const HeartbeatReply& reply, Instant now);
+  void handle(const Endpoint& from, const FleetUpdate& update, Instant now);
+  void handle(const Endpoint& from, const ReplicaReport& report, Instant now);
+  void handle(const Endpoint& from, const ReportReply& reply, Instant now);
+  void send_update(const Endpoint& to, Revision revision, std::uint64_t digest);
+  void push_updates(Instant now);
+  void report_to_leader(Instant now);
+  void lead(Instant now);
+  [[nodiscard]] Duration lease_left(Instant now) const;
+
+  ReplicaConfig config_;
+  ControlFaults faults_;
+  ControlState state_;
+  ControlOutput& output_;
+  std::unique_ptr<Replica> replica_;
+  NodeRegistry nodes_;
+  MembershipController membership_;
+  bool was_leader_ = false;
+  /// Revision up to which updates were pushed to each local node.
+  std::map<Endpoint, Revision> pushed_;
+  Revision pushed_revision_ = 0;
+  Instant next_report_;
+  std::uint64_t report_sequence_ = 0;
+  std::map<std::uint64_t, Instant> reports_sent_;
+  /// Send time of the latest report that a leader with a lease confirmed.
+  std::optional<Instant> confirmed_report_;
+  std::set<Endpoint> may_stop_;
+  /// Index of the last proposed membership change, until it is committed.
+  LogIndex pending_members_ = 0;
+};
+
+}  // namespace gorsevalve
--- /dev/null
+++ b/src/core/control/control_state.cc
@@ -0,0 +1,223 @@
+#include "core/control/control_state.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+#include "codec/archive.h"
+
+namespace gorsevalve {
+namespace {
+
+/// Saved form of the state.
+struct SavedState {
+  FleetState fleet;
+  std::string settings_text;
+  std::vector<RevisionInfo> history;
+  std::vector<SubmissionOutcome> outcomes;
+
+  template <class Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    archive & fleet & settings_text & history & outcomes;
+  }
+};
+
+const Service* find_service(const Settings& settings, const Endpoint& address) {
+  const auto found =
+      std::find_if(settings.services.begin(), settings.services.end(),
+                   [&](const Service& service) { return service.address == address; });
+  return found == settings.services.end() ? nullptr : &*found;
+}
+
+/// Services in the order of their addresses, so that equal contents are equal states.
+void sort_services(Settings& settings) {
+  std::sort(settings.services.begin(), settings.services.end(),
+            [](const Service& a, const Service& b) { return a.address < b.address; });
+}
+
+FleetDelta settings_delta(const Settings& before, const Settings& after) {
+  FleetDelta delta;
+  delta.has_settings = true;
+  delta.deployment = after.deployment;
+  for (const auto& service : after.services) {
+    const Service* old = find_service(before, service.address);
+    if (old == nullptr || *old != service) {
+      delta.upserted_services.push_back(service);
+    }
+  }
+  for (const auto& service : before.services) {
+    if (find_service(after, service.address) == nullptr) {
+      delta.removed_services.push_back(service.address);
+    }
+  }
+  return delta;
+}
+
+void apply_settings_part(FleetState& fleet, const FleetDelta& delta) {
+  auto& services = fleet.settings.services;
+  const auto replaced = [&](const Service& service) {
+    const auto same_address = [&](const Service& other) {
+      return other.address == service.address;
+    };
+    return std::any_of(delta.upserted_services.begin(), delta.upserted_services.end(),
+                       same_address) ||
+           std::find(delta.removed_services.begin(), delta.removed_services.end(),
+                     service.address) != delta.removed_services.end();
+  };
+  std::erase_if(services, replaced);
+  services.insert(services.end(), delta.upserted_services.begin(),
+                  delta.upserted_services.end());
+  sort_services(fleet.settings);
+  fleet.settings.deployment = delta.deployment;
+  fleet.settings_revision = delta.revision;
+}
+
+void apply_members_part(FleetState& fleet, const MembersCommand& command, Revision revision) {
+  fleet.previous_members = fleet.members;
+  auto& members = fleet.members;
+  std::erase_if(members, [&](const Member& member) {
+    return std::find(command.removed.begin(), command.removed.end(), member.address) !=
+           command.removed.end();
+  });
+  for (const auto& member : command.upserted) {
+    std::erase_if(members, [&](const Member& old) { return old.address == member.address; });
+    members.push_back(member);
+  }
+  std::sort(members.begin(), members.end(),
+            [](const Member& a, const Member& b) { return a.address < b.address; });
+  fleet.members_revision = revision;
+  ++fleet.members_epoch;
+}
+
+}  // namespace
+
+bool apply_delta(FleetState& fleet, const FleetDelta& delta) {
+  if (delta.base != fleet.revision || delta.revision <= delta.base) {
+    return false;
+  }
+  if (delta.has_settings) {
+    apply_settings_part(fleet, delta);
+  }
+  if (delta.members) {
+    apply_members_part(fleet, *delta.members, delta.revision);
+  }
+  fleet.revision = delta.revision;
+  return true;
+}
+
+std::uint64_t fleet_digest(const FleetState& fleet) {
+  const Bytes bytes = encode_archive(fleet);
+  return XXH3_64bits(bytes.data(), bytes.size());
+}
+
+ControlState::ControlState(std::uint32_t partitions) {
+  fleet_.partitions = partitions;
+  digest_ = fleet_digest(fleet_);
+}
+
+void ControlState::apply(const LogEntry& entry) {
+  if (entry.type == EntryType::kSettings) {
+    if (auto command = decode_archive<SettingsCommand>(entry.payload)) {
+      apply_settings(entry.index, std::move(*command));
+    }
+  } else if (entry.type == EntryType::kMembers) {
+    if (const auto command = decode_archive<MembersCommand>(entry.payload)) {
+      apply_members(entry.index, *command);
+    }
+  }
+}
+
+void ControlState::apply_settings(LogIndex index, SettingsCommand command) {
+  if (outcome(command.id)) {
+    return;
+  }
+  SubmissionOutcome result{command.id, false, fleet_.settings_revision, {}};
+  if (command.base_revision != fleet_.settings_revision) {
+    result.winner = history_.empty() ? SubmissionId{} : history_.back().submission;
+    remember(std::move(result));
+    return;
+  }
+  sort_services(command.settings);
+  FleetDelta delta = settings_delta(fleet_.settings, command.settings);
+  delta.base = fleet_.revision;
+  delta.revision = index;
+  apply_delta(fleet_, delta);
+  add_delta(std::move(delta));
+  settings_text_ = std::move(command.text);
+  history_.push_back({index, command.id, command.author, command.submitted_at_s,
+                      XXH3_64bits(settings_text_.data(), settings_text_.size())});
+  if (history_.size() > kHistory) {
+    history_.erase(history_.begin());
+  }
+  result.accepted = true;
+  result.revision = index;
+  result.winner = command.id;
+  remember(std::move(result));
+}
+
+void ControlState::apply_members(LogIndex index, const MembersCommand& command) {
+  FleetDelta delta;
+  delta.base = fleet_.revision;
+  delta.revision = index;
+  delta.members = command;
+  apply_delta(fleet_, delta);
+  add_delta(std::move(delta));
+}
+
+void ControlState::add_delta(FleetDelta delta) {
+  digest_ = fleet_digest(fleet_);
+  deltas_.push_back(std::move(delta));
+  if (deltas_.size() > kDeltas) {
+    deltas_.pop_front();
+  }
+}
+
+void ControlState::remember(SubmissionOutcome outcome) {
+  outcome_numbers_[outcome.id] = forgotten_outcomes_ + outcomes_.size();
+  outcomes_.push_back(std::move(outcome));
+  if (outcomes_.size() > kOutcomes) {
+    outcome_numbers_.erase(outcomes_.front().id);
+    outcomes_.pop_front();
+    ++forgotten_outcomes_;
+  }
+}
+
+std::optional<SubmissionOutcome> ControlState::outcome(const SubmissionId& id) const {
+  const auto found = outcome_numbers_.find(id);
+  if (found == outcome_numbers_.end()) {
+    return std::nullopt;
+  }
+  return outcomes_[found->second - forgotten_outcomes_];
+}
+
+const FleetDelta* ControlState::delta_after(Revision revision) const {
+  const auto found = std::find_if(deltas_.begin(), deltas_.end(), [&](const FleetDelta& delta) {
+    return delta.base == revision;
+  });
+  return found == deltas_.end() ? nullptr : &*found;
+}
+
+Bytes ControlState::save() const {
+  SavedState saved{fleet_, settings_text_, history_, {outcomes_.begin(), outcomes_.end()}};
+  return encode_archive(saved);
+}
+
+void ControlState::restore(ByteView bytes) {
+  auto saved = decode_archive<SavedState>(bytes);
+  if (!saved) {
+    return;
+  }
+  fleet_ = std::move(saved->fleet);
+  digest_ = fleet_digest(fleet_);
+  settings_text_ = std::move(saved->settings_text);
+  history_ = std::move(saved->history);
+  outcomes_.clear();
+  outcome_numbers_.clear();
+  forgotten_outcomes_ = 0;
+  deltas_.clear();
+  for (auto& outcome : saved->outcomes) {
+    remember(std::move(outcome));
+  }
+}
+
+}  // namespace gorsevalve
--- /dev/null
+++ b/src/core/control/control_state.h
@@ -0,0 +1,146 @@
+/// The state that the control log drives: the fleet state, and the outcome of every submission.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/control/replica.h"
+#include "model/fleet.h"
+
+namespace gorsevalve {
+
+/// Chosen by the submitter; the same id means the same submission.
+using SubmissionId = std::string;
+
+/// A complete settings file, submitted against a revision.
+struct SettingsCommand {
+  SubmissionId id;
+  /// The settings revision that the file was based on.
+  Revision base_revision = 0;
+  std::string author;
+  /// When the leader took it, in seconds since 1970.
+  std::int64_t submitted_at_s = 0;
+  /// The file as submitted, and its checked content.
+  std::string text;
+  Settings settings;
+
+  template <class Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    archive & id & base_revision & author & submitted_at_s & text & settings;
+  }
+};
+
+/// Changes of the balancer members.
+struct MembersCommand {
+  /// Members added, or changed in state; by address.
+  std::vector<Member> upserted;
+  /// Addresses removed, unless re-added under another incarnation in the same command.
+  std::vector<Endpoint> removed;
+
+  template <class Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    archive & upserted & removed;
+  }
+};
+
+/// What became of a submission.
+struct SubmissionOutcome {
+  SubmissionId id;
+  bool accepted = false;
+  /// The settings revision that it made, or that it lost against.
+  Revision revision = 0;
+  /// The submission that made that revision.
+  SubmissionId winner;
+
+  friend bool operator==(const SubmissionOutcome&, const SubmissionOutcome&) = default;
+
+  template <class Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    archive & id & accepted & revision & winner;
+  }
+};
+
+/// One accepted settings revision, for the history.
+struct RevisionInfo {
+  Revision revision = 0;
+  SubmissionId submission;
+  std::string author;
+  std::int64_t submitted_at_s = 0;
+  /// XXH3 of the text.
+  std::uint64_t digest = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    archive & revision & submission & author & submitted_at_s & digest;
+  }
+};
+
+/// What changed between two revisions of the fleet state.
+struct FleetDelta {
+  Revision base = 0;
+  Revision revision = 0;
+  /// Set when the settings changed.
+  bool has_settings = false;
+  std::string deployment;
+  std::vector<Service> upserted_services;
+  std::vector<Endpoint> removed_services;
+  /// Set when the members changed.
+  std::optional<MembersCommand> members;
+
+  template <class Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    archive & base & revision & has_settings & deployment & upserted_services &
+        removed_services & members;
+  }
+};
+
+/// Applies a delta; false when it is not based on this state's revision.
+bool apply_delta(FleetState& fleet, const FleetDelta& delta);
+
+/// Digest of a whole fleet state: equal states give equal digests in every process (XXH3).
+std::uint64_t fleet_digest(const FleetState& fleet);
+
+class ControlState : public ReplicatedState {
+ public:
+  /// Outcomes of submissions that are remembered.
+  static constexpr std::size_t kOutcomes = 4096;
+  /// Deltas that are kept for nodes that lag.
+  static constexpr std::size_t kDeltas = 256;
+  static constexpr std::size_t kHistory = 128;
+
+  explicit ControlState(std::uint32_t partitions);
+
+  void apply(const LogEntry& entry) override;
+  [[nodiscard]] Bytes save() const override;
+  void restore(ByteView saved) override;
+
+  [[nodiscard]] const FleetState& fleet() const { return fleet_; }
+  [[nodiscard]] std::uint64_t digest() const { return digest_; }
+  [[nodiscard]] const std::string& settings_text() const { return settings_text_; }
+  [[nodiscard]] const std::vector<RevisionInfo>& history() const { return history_; }
+  /// Outcome of a submission; nothing when it was not decided or is forgotten.
+  [[nodiscard]] std::optional<SubmissionOutcome> outcome(const SubmissionId& id) const;
+  /// The delta that follows a revision; nullptr when it is no longer kept.
+  [[nodiscard]] const FleetDelta* delta_after(Revision revision) const;
+
+ private:
+  void apply_settings(LogIndex index, SettingsCommand command);
+  void apply_members(LogIndex index, const MembersCommand& command);
+  void remember(SubmissionOutcome outcome);
+  void add_delta(FleetDelta delta);
+
+  FleetState fleet_;
+  std::uint64_t digest_ = 0;
+  std::string settings_text_;
+  std::vector<RevisionInfo> history_;
+  std::deque<SubmissionOutcome> outcomes_;
+  std::map<SubmissionId, std::size_t> outcome_numbers_;
+  std::size_t forgotten_outcomes_ = 0;
+  std::deque<FleetDelta> deltas_;
+};
+
+}  // namespace gorsevalve
--- /dev/null
+++ b/src/core/control/log_entry.h
@@ -0,0 +1,107 @@
+/// Entries of the replicated control log, and the configuration of the replicas themselves.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "model/bytes.h"
+#include "model/endpoint.h"
+
+namespace gorsevalve {
+
+/// Election period. Terms only grow; each has at most one leader.
+using Term = std::uint64_t;
+/// Position in the log, from 1.
+using LogIndex = std::uint64_t;
+
+/// Identity of a replica: drawn when its data folder is made, and lost with it. A replica whose disk
+/// was replaced is a different replica and has no vote of the old one.
+using ReplicaId = std::uint64_t;
+
+enum class EntryType : std::uint8_t {
+  /// Written by a new leader, to commit what earlier terms left.
+  kNone = 0,
+  /// A SettingsCommand.
+  kSettings = 1,
+  /// A MembersCommand.
+  kMembers = 2,
+  /// A ReplicaSet: in force as soon as it is in the log.
+  kReplicas = 3,
+};
+
+struct LogEntry {
+  Term term = 0;
+  LogIndex index = 0;
+  EntryType type = EntryType::kNone;
+  Bytes payload;
+
+  friend bool operator==(const LogEntry&, const LogEntry&) = default;
+
+  template <class Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    archive & term & index & type & payload;
+  }
+};
+
+struct ReplicaInfo {
+  ReplicaId id = 0;
+  Endpoint address;
+  /// False for a learner: it gets the log but does not count for elections and commits.
+  bool voter = true;
+
+  friend bool operator==(const ReplicaInfo&, const ReplicaInfo&) = default;
+
+  template <class Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    archive & id & address & voter;
+  }
+};
+
+/// All replicas. Changes by one voter at a time (Ongaro, "Consensus: bridging theory and practice",
+/// 2014, section 4.1).
+struct ReplicaSet {
+  std::vector<ReplicaInfo> replicas;
+
+  [[nodiscard]] const ReplicaInfo* find(ReplicaId id) const;
+  [[nodiscard]] bool is_voter(ReplicaId id) const;
+  /// Voters that are needed for a majority.
+  [[nodiscard]] std::size_t majority() const;
+
+  friend bool operator==(const ReplicaSet&, const ReplicaSet&) = default;
+
+  template <class Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    archive & replicas;
+  }
+};
+
+/// Term and vote, which must survive a restart.
+struct HardState {
+  Term term = 0;
+  /// Replica voted for in `term`; 0 for none.
+  ReplicaId voted_for = 0;
+
+  friend bool operator==(const HardState&, const HardState&) = default;
+
+  template <class Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    archive & term & voted_for;
+  }
+};
+
+/// State up to and including an index, in place of the entries.
+struct Snapshot {
+  LogIndex index = 0;
+  Term term = 0;
+  ReplicaSet replicas;
+  /// Encoded ControlState.
+  Bytes state;
+
+  template <class Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    archive & index & term & replicas & state;
+  }
+};
+
+}  // namespace gorsevalve
--- /dev/null
+++ b/src/core/control/membership.cc
@@ -0,0 +1,120 @@
+#include "core/control/membership.h"
+
+#include <algorithm>
+
+#include "core/control/timing.h"
+
+namespace gorsevalve {
+namespace {
+
+const Member* find_member(const FleetState& fleet, const Endpoint& address) {
+  const auto found =
+      std::find_if(fleet.members.begin(), fleet.members.end(),
+                   [&](const Member& member) { return member.address == address; });
+  return found == fleet.members.end() ? nullptr : &*found;
+}
+
+bool is_settled_at(const NodeEntry* entry, Revision members_revision) {
+  return entry != nullptr && entry->status.settled_revision >= members_revision;
+}
+
+}  // namespace
+
+void MembershipController::on_elected(Instant now) {
+  elected_at_ = now;
+  watched_revision_ = 0;
+  planned_since_.reset();
+}
+
+void MembershipController::add_lost(const FleetState& fleet, const NodeRegistry& nodes,
+                                    Instant now, MembersCommand& change) const {
+  if (now - elected_at_ < control_timing::kMemberTimeout) {
+    return;
+  }
+  for (const auto& member : fleet.members) {
+    const NodeEntry* entry = nodes.find(member.address);
+    const bool replaced =
+        entry != nullptr && entry->status.member.incarnation != member.incarnation;
+    const bool silent =
+        entry == nullptr || now - entry->heard_at > control_timing::kMemberTimeout;
+    if (silent || replaced) {
+      change.removed.push_back(member.address);
+    }
+  }
+}
+
+bool MembershipController::add_planned(const FleetState& fleet, const NodeRegistry& nodes,
+                                       Instant now, MembersCommand& change) {
+  bool any = false;
+  for (const auto& [address, entry] : nodes.nodes()) {
+    if (now - entry.heard_at > control_timing::kMemberTimeout) {
+      continue;
+    }
+    const Member& seen = entry.status.member;
+    const Member* member = find_member(fleet, address);
+    const bool joins = member == nullptr && seen.state == MemberState::kActive;
+    const bool leaves = member != nullptr && member->incarnation == seen.incarnation &&
+                        member->state != seen.state;
+    if (joins || leaves) {
+      change.upserted.push_back(seen);
+      any = true;
+    }
+  }
+  return any;
+}
+
+bool MembershipController::is_settled(const FleetState& fleet, const NodeRegistry& nodes) {
+  return std::all_of(fleet.members.begin(), fleet.members.end(), [&](const Member& member) {
+    return is_settled_at(nodes.find(member.address), fleet.members_revision);
+  });
+}
+
+std::optional<MembersCommand> MembershipController::next_change(const FleetState& fleet,
+                                                                const NodeRegistry& nodes,
+                                                                Instant now) {
+  if (watched_revision_ != fleet.members_revision) {
+    watched_revision_ = fleet.members_revision;
+    watched_since_ = now;
+  }
+  MembersCommand change;
+  add_lost(fleet, nodes, now, change);
+  if (!change.removed.empty()) {
+    return change;
+  }
+  const bool settled = is_settled(fleet, nodes) ||
+                       now - watched_since_ > control_timing::kSettleTimeout;
+  if (!settled || !add_planned(fleet, nodes, now, change)) {
+    planned_since_.reset();
+    return std::nullopt;
+  }
+  // Changes that come together go together: one transfer instead of several.
+  planned_since_ = planned_since_.value_or(now);
+  if (now - *planned_since_ < control_timing::kMembersBatch) {
+    return std::nullopt;
+  }
+  planned_since_.reset();
+  return change;
+}
+
+std::vector<Endpoint> MembershipController::may_stop(const FleetState& fleet,
+                                                     const NodeRegistry& nodes) {
+  std::vector<Endpoint> result;
+  const bool settled =
+      std::all_of(fleet.members.begin(), fleet.members.end(), [&](const Member& member) {
+        return member.state == MemberState::kLeaving ||
+               is_settled_at(nodes.find(member.address), fleet.members_revision);
+      });
+  if (!settled) {
+    return result;
+  }
+  for (const auto& member : fleet.members) {
+    const NodeEntry* entry = nodes.find(member.address);
+    const bool handed_over = entry != nullptr && entry->status.settled_revision != 0;
+    if (member.state == MemberState::kLeaving && handed_over) {
+      result.push_back(member.address);
+    }
+  }
+  return result;
+}
+
+}  // namespace gorsevalve
--- /dev/null
+++ b/src/core/control/membership.h
@@ -0,0 +1,43 @@
+/// The leader's decisions about the balancer members: who joins, leaves and is removed, and when.
+#pragma once
+
+#include <optional>
+#include <vector>
+
+#include "core/control/control_state.h"
+#include "core/control/node_registry.h"
+#include "model/time.h"
+
+namespace gorsevalve {
+
+class MembershipController {
+ public:
+  /// Forgets what an earlier time as leader has seen. Nothing is removed before nodes had the time to
+  /// be heard.
+  void on_elected(Instant now);
+
+  /// The next membership change, or nothing. Lost members are removed at once; joins and planned
+  /// leaves wait until the change before them has settled, so that state is handed over step by step.
+  [[nodiscard]] std::optional<MembersCommand> next_change(const FleetState& fleet,
+                                                          const NodeRegistry& nodes, Instant now);
+
+  /// Leaving members that may end: every other member has settled without them.
+  [[nodiscard]] static std::vector<Endpoint> may_stop(const FleetState& fleet,
+                                                      const NodeRegistry& nodes);
+
+  /// True when every active member that is heard has finished the handovers of the present revision.
+  [[nodiscard]] static bool is_settled(const FleetState& fleet, const NodeRegistry& nodes);
+
+ private:
+  void add_lost(const FleetState& fleet, const NodeRegistry& nodes, Instant now,
+                MembersCommand& change) const;
+  static bool add_planned(const FleetState& fleet, const NodeRegistry& nodes, Instant now,
+                          MembersCommand& change);
+
+  Instant elected_at_;
+  Revision watched_revision_ = 0;
+  Instant watched_since_;
+  std::optional<Instant> planned_since_;
+};
+
+}  // namespace gorsevalve
--- /dev/null
+++ b/src/core/control/node_messages.h
@@ -0,0 +1,100 @@
+/// Messages between balancers and control replicas, and between a follower and the leader about the
+/// balancers that it serves.
+#pragma once
+
+#include <cstdint>
+#include <variant>
+#include <vector>
+
+#include "core/control/control_state.h"
+#include "model/fleet.h"
+
+namespace gorsevalve {
+
+/// What a balancer says of itself, once per kHeartbeatInterval.
+struct NodeHeartbeat {
+  std::uint64_t sequence = 0;
+  Member member;
+  /// Fleet state in force at the balancer.
+  Revision revision = 0;
+  std::uint64_t digest = 0;
+  /// Membership revision whose handovers it finished; 0 while one is under way.
+  Revision settled_revision = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    archive & sequence & member & revision & digest & settled_revision;
+  }
+};
+
+struct HeartbeatReply {
+  std::uint64_t sequence = 0;
+  /// The balancer may run once-only requests for this long after it sent the heartbeat.
+  std::uint32_t lease_ms = 0;
+  /// Set when a leaving balancer may end: all others have settled without it.
+  bool may_stop = false;
+
+  template <class Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    archive & sequence & lease_ms & may_stop;
+  }
+};
+
+/// Replica to balancer: the changes after its revision, or the whole state.
+struct FleetUpdate {
+  std::vector<FleetDelta> deltas;
+  bool is_whole = false;
+  FleetState whole;
+  /// Digest after all changes.
+  std::uint64_t digest = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    archive & deltas & is_whole & whole & digest;
+  }
+};
+
+/// A balancer as its replica last heard it.
+struct NodeStatus {
+  Member member;
+  Revision revision = 0;
+  Revision settled_revision = 0;
+  /// Time since the last heartbeat.
+  std::uint32_t age_ms = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    archive & member & revision & settled_revision & age_ms;
+  }
+};
+
+/// Follower to leader, once per kHeartbeatInterval.
+struct ReplicaReport {
+  std::uint64_t sequence = 0;
+  /// Replica that reports.
+  Endpoint replica;
+  std::vector<NodeStatus> nodes;
+
+  template <class Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    archive & sequence & replica & nodes;
+  }
+};
+
+/// Leader to follower: the report was taken by a leader that still had its lease.
+struct ReportReply {
+  std::uint64_t sequence = 0;
+  /// Leaving balancers that may end.
+  std::vector<Endpoint> may_stop;
+
+  template <class Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    archive & sequence & may_stop;
+  }
+};
+
+/// Any message between balancers and replicas about the fleet.
+using NodeMessage =
+    std::variant<NodeHeartbeat, HeartbeatReply, FleetUpdate, ReplicaReport, ReportReply>;
+
+}  // namespace gorsevalve
--- /dev/null
+++ b/src/core/control/replica.h
@@ -0,0 +1,175 @@
+/// One replica of the control log: elections with pre-vote, majority commit, leader lease, learners,
+/// single-step membership changes, snapshots. A state machine without sockets, clocks or threads.
+/// Source: see replica_messages.h.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <vector>
+
+#include "core/control/log_entry.h"
+#include "core/control/replica_messages.h"
+#include "model/time.h"
+#include "storage/log_store.h"
+
+namespace gorsevalve {
+
+/// Where a replica keeps its durable state. `false` means that the state is no longer safe; the
+/// replica stops for good.
+class ReplicaStorage {
+ public:
+  virtual ~ReplicaStorage() = default;
+  [[nodiscard]] virtual bool append(const LogFrame& frame) = 0;
+  [[nodiscard]] virtual bool replace_with_snapshot(const Snapshot& snapshot,
+                                                   const LogFrame& frame) = 0;
+};
+
+/// Sends without waiting and without telling whether the message arrived.
+class ReplicaOutput {
+ public:
+  virtual ~ReplicaOutput() = default;
+  virtual void send(const Endpoint& to, const ReplicaMessage& message) = 0;
+};
+
+/// The state that the log drives.
+class ReplicatedState {
+ public:
+  virtual ~ReplicatedState() = default;
+  /// Applies a committed entry; called once for each index, in order.
+  virtual void apply(const LogEntry& entry) = 0;
+  [[nodiscard]] virtual Bytes save() const = 0;
+  /// Replaces the state by a saved one.
+  virtual void restore(ByteView saved) = 0;
+};
+
+/// Deliberate faults, for the test that shows that the checkers can fail. All off in programs.
+struct ReplicaFaults {
+  bool vote_without_log_check = false;
+  bool vote_while_leader_lives = false;
+  bool commit_without_majority = false;
+  bool ignore_leader_lease = false;
+  bool keep_identity_on_empty_disk = false;
+};
+
+struct ReplicaConfig {
+  ReplicaId id = 0;
+  Endpoint address;
+  /// Addresses to ask for admission while this replica is in no set.
+  std::vector<Endpoint> seeds;
+  std::uint64_t random_seed = 0;
+  ReplicaFaults faults;
+};
+
+enum class ReplicaRole : std::uint8_t { kFollower = 0, kCandidate = 1, kLeader = 2 };
+
+class Replica {
+ public:
+  /// Entries after the last snapshot that lead to a new one.
+  static constexpr std::size_t kSnapshotEntries = 1024;
+
+  /// All references must outlive the replica. `stored` is what the storage held at the start.
+  Replica(ReplicaConfig config, ReplicaSet first_replicas, StoredReplica stored,
+          ReplicaStorage& storage, ReplicaOutput& output, ReplicatedState& state, Instant now);
+
+  void on_message(const ReplicaMessage& message, Instant now);
+  /// To be called every kTickInterval.
+  void on_tick(Instant now);
+
+  /// Appends an entry as leader and begins to replicate it; nothing when this is not the leader or
+  /// its lease has run out.
+  std::optional<LogIndex> propose(EntryType type, Bytes payload, Instant now);
+
+  [[nodiscard]] bool is_leader() const { return role_ == ReplicaRole::kLeader; }
+  /// True while no other replica can have become leader, and everything that was committed before is
+  /// applied here.
+  [[nodiscard]] bool has_lease(Instant now) const;
+  /// Address of the present leader, if it is known.
+  [[nodiscard]] std::optional<Endpoint> leader_address() const;
+  /// True after storage failed: the process must end.
+  [[nodiscard]] bool has_failed() const { return failed_; }
+
+  [[nodiscard]] ReplicaId id() const { return config_.id; }
+  [[nodiscard]] Term term() const { return hard_state_.term; }
+  [[nodiscard]] LogIndex commit_index() const { return commit_index_; }
+  [[nodiscard]] LogIndex last_index() const;
+  [[nodiscard]] const ReplicaSet& replicas() const { return replicas_; }
+
+  static constexpr Duration kTickInterval = std::chrono::milliseconds(20);
+
+ private:
+  /// Leader's knowledge of another replica.
+  struct Progress {
+    LogIndex next_index = 1;
+    LogIndex match_index = 0;
+    /// Latest send time that it confirmed.
+    Instant confirmed_at;
+    Instant last_sent;
+    bool waits_for_snapshot = false;
+  };
+
+  void handle(const ReplicaMessage& message, const VoteRequest& request, Instant now);
+  void handle(const ReplicaMessage& message, const VoteReply& reply, Instant now);
+  void handle(const ReplicaMessage& message, const AppendRequest& request, Instant now);
+  void handle(const ReplicaMessage& message, const AppendReply& reply, Instant now);
+  void handle(const ReplicaMessage& message, const SnapshotRequest& request, Instant now);
+  void handle(const ReplicaMessage& message, const JoinRequest& request, Instant now);
+
+  [[nodiscard]] bool accepts_term(const ReplicaMessage& message, Instant now);
+  [[nodiscard]] bool log_is_current(const VoteRequest& request) const;
+  void become_follower(Term term, Instant now);
+  void become_leader(Instant now);
+  void start_election(bool pre_vote, Instant now);
+  void count_vote(bool pre_vote, Instant now);
+  void reset_election_timer(Instant now);
+
+  void replicate_to(const ReplicaInfo& replica, Instant now);
+  void replicate_to_all(Instant now);
+  void append_as_leader(LogEntry entry, Instant now);
+  void advance_commit(Instant now);
+  void apply_committed();
+  bool persist(const LogFrame& frame);
+  void maybe_snapshot();
+  void find_replicas();
+  void change_replicas(Instant now);
+  void ask_to_join(Instant now);
+
+  [[nodiscard]] const LogEntry* entry(LogIndex index) const;
+  [[nodiscard]] Term term_at(LogIndex index) const;
+  [[nodiscard]] LogIndex snapshot_index() const { return snapshot_ ? snapshot_->index : 0; }
+  [[nodiscard]] Instant majority_confirmed_at(Instant now) const;
+  void send(const Endpoint& to, Term term, ReplicaMessage message);
+
+  ReplicaConfig config_;
+  ReplicaSet first_replicas_;
+  ReplicaStorage& storage_;
+  ReplicaOutput& output_;
+  ReplicatedState& state_;
+  std::mt19937_64 random_;
+
+  HardState hard_state_;
+  std::optional<Snapshot> snapshot_;
+  std::vector<LogEntry> entries_;
+  ReplicaSet replicas_;
+  /// Index of the entry that `replicas_` comes from; 0 for the first set or a snapshot.
+  LogIndex replicas_index_ = 0;
+
+  ReplicaRole role_ = ReplicaRole::kFollower;
+  bool failed_ = false;
+  LogIndex commit_index_ = 0;
+  LogIndex applied_index_ = 0;
+  std::optional<ReplicaId> leader_;
+  Instant leader_heard_at_;
+  Instant election_at_;
+  bool in_pre_vote_ = false;
+  std::set<ReplicaId> votes_;
+  std::map<ReplicaId, Progress> progress_;
+  /// Index of the first entry of the own term as leader.
+  LogIndex leader_start_ = 0;
+  /// Replicas that asked to be taken in.
+  std::map<ReplicaId, Endpoint> joining_;
+  Instant next_join_;
+};
+
+}  // namespace gorsevalve
--- /dev/null
+++ b/src/model/verdict.h
@@ -0,0 +1,63 @@
+/// What the system tells a caller about a request that it gave up on.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string_view>
+
+namespace gorsevalve {
+
+/// Whether a request that got no answer from a target may have been executed.
+enum class Execution : std::uint8_t {
+  /// No byte of the request was handed to any target, and none will be.
+  kNotRun = 0,
+  /// The request was handed to a target, or another balancer may have done so.
+  kMayHaveRun = 1,
+};
+
+/// Why a request was given up on. Used in logs and metrics.
+enum class GiveUpReason : std::uint8_t {
+  kNoTarget = 0,
+  kOverload = 1,
+  kDeadline = 2,
+  kNoBackup = 3,
+  kNoLease = 4,
+  kIncompleteTakeover = 5,
+  kUnknownService = 6,
+  kOwnerUnreachable = 7,
+  kTargetRemoved = 8,
+};
+
+constexpr std::string_view to_string(GiveUpReason reason) {
+  switch (reason) {
+    case GiveUpReason::kNoTarget:
+      return "no_target";
+    case GiveUpReason::kOverload:
+      return "overload";
+    case GiveUpReason::kDeadline:
+      return "deadline";
+    case GiveUpReason::kNoBackup:
+      return "no_backup";
+    case GiveUpReason::kNoLease:
+      return "no_lease";
+    case GiveUpReason::kIncompleteTakeover:
+      return "incomplete_takeover";
+    case GiveUpReason::kUnknownService:
+      return "unknown_service";
+    case GiveUpReason::kOwnerUnreachable:
+      return "owner_unreachable";
+    case GiveUpReason::kTargetRemoved:
+      return "target_removed";
+  }
+  return "unknown";
+}
+
+/// Final answer for a request that was given up on.
+struct Verdict {
+  Execution execution = Execution::kMayHaveRun;
+  GiveUpReason reason = GiveUpReason::kDeadline;
+  /// When the caller should come back (CoAP Max-Age).
+  std::chrono::seconds retry_after{1};
+};
+
+}  // namespace gorsevalve
--- /dev/null
+++ b/src/programs/operator_main.cc
@@ -0,0 +1,355 @@
+/// gorsevalve: the operator's command.
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <sstream>
+
+#include "programs/program.h"
+#include "settings/settings_file.h"
+#include "tasks/http_client.h"
+
+ABSL_FLAG(std::vector<std::string>, server, {}, "administration addresses, IP:port,...");
+ABSL_FLAG(std::string, token_file, "", "file whose first line is the API token");
+ABSL_FLAG(std::string, id, "", "submission id; a resend with the same id is harmless");
+ABSL_FLAG(std::string, author, "", "name for the audit line");
+ABSL_FLAG(std::int64_t, base, -1, "settings revision the file is based on; -1 for the present one");
+ABSL_FLAG(bool, wait, false, "apply: wait until the settings are in force on every balancer");
+ABSL_FLAG(std::int32_t, timeout_s, 30, "how long to try and to wait, in seconds");
+ABSL_FLAG(bool, json, false, "print JSON");
+
+namespace gorsevalve {
+namespace {
+
+using nlohmann::json;
+
+const std::map<std::string, std::string>& command_help() {
+  static const std::map<std::string, std::string> kHelp = {
+      {"check", "gorsevalve check FILE\n  Checks a settings file without sending it.\n"
+                "  Exit: 0 good, 2 refused.\n"},
+      {"apply",
+       "gorsevalve apply FILE --server=IP:port,... --token_file=FILE [--wait] [--base=N]\n"
+       "                [--id=ID] [--author=NAME] [--timeout_s=N]\n"
+       "  Submits a whole settings file. With --wait it returns when the file is in force on every\n"
+       "  balancer. A resend with the same --id gives the first outcome again.\n"
+       "  Exit: 0 accepted, 2 refused, 3 conflict, 4 no leader reached, 5 not in force in time.\n"},
+      {"status", "gorsevalve status --server=IP:port,... --token_file=FILE [--json]\n"
+                 "  Shows the leader's view: revision, members, and which lag.\n"
+                 "  Exit: 0, or 4 when no leader was reached.\n"},
+      {"diff", "gorsevalve diff FILE --server=IP:port,... --token_file=FILE\n"
+               "  Shows the lines in which FILE differs from the settings in force.\n"
+               "  Exit: 0 equal, 3 different, 4 no leader reached.\n"},
+  };
+  return kHelp;
+}
+
+/// Requests to the administration API, tried at each server until one that leads answers.
+class ApiClient {
+ public:
+  ApiClient() : client_(loop_, std::chrono::seconds(6)) {
+    servers_ = require_endpoints("server", absl::GetFlag(FLAGS_server));
+    if (servers_.empty()) {
+      std::exit(fail("--server is needed", kExitUsage));
+    }
+    std::ifstream file(require_value("token_file", absl::GetFlag(FLAGS_token_file)));
+    std::string line;
+    std::getline(file, line);
+    const std::size_t space = line.find(' ');
+    token_ = space == std::string::npos ? line : line.substr(space + 1);
+    if (token_.empty()) {
+      std::exit(fail("--token_file: no token in its first line", kExitUsage));
+    }
+  }
+
+  /// The leader's response; nothing when none answered in time.
+  std::optional<HttpClientResponse> request(const std::string& method, const std::string& path,
+                                            const std::string& body = {}) {
+    const Instant deadline =
+        monotonic_now() + std::chrono::seconds(absl::GetFlag(FLAGS_timeout_s));
+    do {
+      for (const auto& server : servers_) {
+        const auto response = send(server, method, path, body);
+        const bool leads = response && response->status != kNotLeader &&
+                           response->status != kPending && is_from_leader(path, *response);
+        if (leads) {
+          return response;
+        }
+      }
+      pause();
+    } while (monotonic_now() < deadline);
+    return std::nullopt;
+  }
+
+  void pause() { run_for(std::chrono::milliseconds(200)); }
+
+ private:
+  static constexpr int kNotLeader = 421;
+  static constexpr int kPending = 202;
+
+  static bool is_from_leader(const std::string& path, const HttpClientResponse& response) {
+    if (path != "/v1/status") {
+      return true;
+    }
+    const json body = json::parse(response.body, nullptr, false);
+    return body.is_object() && body.value("is_leader", false);
+  }
+
+  std::optional<HttpClientResponse> send(const Endpoint& server, const std::string& method,
+                                         const std::string& path, const std::string& body) {
+    std::optional<HttpClient::Result> result;
+    client_.send({method, server, path, body, token_},
+                 [&](HttpClient::Result received) { result = std::move(received); });
+    while (!result) {
+      h2o_evloop_run(loop_.raw(), 50);
+    }
+    return *result ? std::optional(**result) : std::nullopt;
+  }
+
+  void run_for(Duration duration) {
+    const Instant end = monotonic_now() + duration;
+    while (monotonic_now() < end) {
+      h2o_evloop_run(loop_.raw(), 20);
+    }
+  }
+
+  EventLoop loop_;
+  HttpClient client_;
+  std::vector<Endpoint> servers_;
+  std::string token_;
+};
+
+std::string read_file(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  if (!file) {
+    std::exit(fail(path + ": cannot be read", kExitUsage));
+  }
+  std::ostringstream content;
+  content << file.rdbuf();
+  return content.str();
+}
+
+void print_errors(const std::vector<SettingsError>& errors) {
+  for (const auto& error : errors) {
+    std::fprintf(stderr, "%s\n", to_string(error).c_str());
+  }
+}
+
+int check(const std::string& path) {
+  const auto settings = parse_settings(read_file(path), path);
+  if (!settings) {
+    print_errors(settings.error());
+    return kExitRefused;
+  }
+  std::size_t targets = 0;
+  for (const auto& service : settings->services) {
+    targets += service.targets.size();
+  }
+  std::printf("%s: good: %zu services, %zu targets\n", path.c_str(), settings->services.size(),
+              targets);
+  return kExitOk;
+}
+
+int wait_until_in_force(ApiClient& api, Revision revision) {
+  const Instant deadline = monotonic_now() + std::chrono::seconds(absl::GetFlag(FLAGS_timeout_s));
+  json status;
+  while (monotonic_now() < deadline) {
+    const auto response = api.request("GET", "/v1/status");
+    if (response) {
+      status = json::parse(response->body, nullptr, false);
+      const bool reached = status.value("settings_revision", Revision{0}) >= revision;
+      const std::size_t members = status.value("members", std::size_t{0});
+      if (reached && members > 0 && status.value("in_force", std::size_t{0}) == members) {
+        std::printf("in force on %zu of %zu balancers\n", members, members);
+        return kExitOk;
+      }
+    }
+    api.pause();
+  }
+  std::fprintf(stderr, "not in force everywhere in time; lagging: %s\n",
+               status.value("lagging", json::array()).dump().c_str());
+  return kExitTimeout;
+}
+
+int print_refusal(const HttpClientResponse& response) {
+  const json body = json::parse(response.body, nullptr, false);
+  if (response.status == 409) {
+    std::fprintf(stderr, "conflict: revision %llu was made by submission %s\n",
+                 static_cast<unsigned long long>(body.value("revision", Revision{0})),
+                 body.value("winner", std::string()).c_str());
+    return kExitConflict;
+  }
+  for (const auto& error : body.value("errors", json::array())) {
+    print_errors({{error.value("file", ""), error.value("line", 0U), error.value("field", ""),
+                   error.value("message", "")}});
+  }
+  if (!body.contains("errors")) {
+    std::fprintf(stderr, "refused: %s\n", response.body.c_str());
+  }
+  return kExitRefused;
+}
+
+int apply(const std::string& path) {
+  const std::string text = read_file(path);
+  if (const auto settings = parse_settings(text, path); !settings) {
+    print_errors(settings.error());
+    return kExitRefused;
+  }
+  ApiClient api;
+  std::int64_t base = absl::GetFlag(FLAGS_base);
+  if (base < 0) {
+    const auto status = api.request("GET", "/v1/status");
+    if (!status) {
+      return fail("no leader answered", kExitUnreachable);
+    }
+    base = json::parse(status->body, nullptr, false).value("settings_revision", std::int64_t{0});
+  }
+  std::string id = absl::GetFlag(FLAGS_id);
+  if (id.empty()) {
+    id = std::to_string(random_number());
+  }
+  const json body = {{"id", id},
+                     {"base_revision", base},
+                     {"author", absl::GetFlag(FLAGS_author)},
+                     {"file", path},
+                     {"text", text}};
+  const auto response = api.request("POST", "/v1/submissions", body.dump());
+  if (!response) {
+    return fail("no leader answered; send again with --id=" + id, kExitUnreachable);
+  }
+  if (response->status != 200) {
+    return print_refusal(*response);
+  }
+  const Revision revision =
+      json::parse(response->body, nullptr, false).value("revision", Revision{0});
+  if (absl::GetFlag(FLAGS_json)) {
+    std::printf("%s\n", response->body.c_str());
+  } else {
+    std::printf("accepted as revision %llu\n", static_cast<unsigned long long>(revision));
+  }
+  return absl::GetFlag(FLAGS_wait) ? wait_until_in_force(api, revision) : kExitOk;
+}
+
+int status() {
+  ApiClient api;
+  const auto response = api.request("GET", "/v1/status");
+  if (!response) {
+    return fail("no leader answered", kExitUnreachable);
+  }
+  const json body = json::parse(response->body, nullptr, false);
+  if (absl::GetFlag(FLAGS_json)) {
+    std::printf("%s\n", body.dump(2).c_str());
+    return kExitOk;
+  }
+  std::printf("leader %s, term %llu\nsettings revision %llu in force on %zu of %zu balancers\n",
+              body.value("leader", std::string("?")).c_str(),
+              static_cast<unsigned long long>(body.value("term", 0ULL)),
+              static_cast<unsigned long long>(body.value("settings_revision", 0ULL)),
+              body.value("in_force", std::size_t{0}), body.value("members", std::size_t{0}));
+  for (const auto& name : body.value("lagging", json::array())) {
+    std::printf("  lagging: %s\n", name.get<std::string>().c_str());
+  }
+  return kExitOk;
+}
+
+std::vector<std::string> split_lines(const std::string& text) {
+  std::vector<std::string> lines;
+  std::istringstream stream(text);
+  for (std::string line; std::getline(stream, line);) {
+    lines.push_back(line);
+  }
+  return lines;
+}
+
+/// Prints the lines of a longest common subsequence diff; gives the number of lines that differ.
+std::size_t print_difference(const std::vector<std::string>& before,
+                             const std::vector<std::string>& after) {
+  const std::size_t rows = before.size();
+  const std::size_t columns = after.size();
+  std::vector<std::vector<std::uint32_t>> common(rows + 1,
+                                                 std::vector<std::uint32_t>(columns + 1));
+  for (std::size_t i = rows; i > 0; --i) {
+    for (std::size_t j = columns; j > 0; --j) {
+      common[i - 1][j - 1] = before[i - 1] == after[j - 1]
+                                 ? common[i][j] + 1
+                                 : std::max(common[i][j - 1], common[i - 1][j]);
+    }
+  }
+  std::size_t i = 0;
+  std::size_t j = 0;
+  std::size_t differing = 0;
+  while (i < rows || j < columns) {
+    if (i < rows && j < columns && before[i] == after[j]) {
+      ++i;
+      ++j;
+      continue;
+    }
+    ++differing;
+    if (j >= columns || (i < rows && common[i + 1][j] >= common[i][j + 1])) {
+      std::printf("-%s\n", before[i++].c_str());
+    } else {
+      std::printf("+%s\n", after[j++].c_str());
+    }
+  }
+  return differing;
+}
+
+int diff(const std::string& path) {
+  ApiClient api;
+  const auto response = api.request("GET", "/v1/settings");
+  if (!response) {
+    return fail("no leader answered", kExitUnreachable);
+  }
+  const json body = json::parse(response->body, nullptr, false);
+  const std::size_t differing = print_difference(split_lines(body.value("text", std::string())),
+                                                 split_lines(read_file(path)));
+  return differing == 0 ? kExitOk : kExitConflict;
+}
+
+int run(const std::vector<char*>& words) {
+  const std::string command = words.size() > 1 ? words[1] : "";
+  const std::string file = words.size() > 2 ? words[2] : "";
+  const bool needs_file = command == "check" || command == "apply" || command == "diff";
+  if (!command_help().contains(command) || (needs_file && file.empty())) {
+    std::fprintf(stderr, "usage: gorsevalve check|apply|status|diff [FILE] [flags]; "
+                         "gorsevalve COMMAND --help\n");
+    return kExitUsage;
+  }
+  if (command == "check") {
+    return check(file);
+  }
+  if (command == "apply") {
+    return apply(file);
+  }
+  return command == "status" ? status() : diff(file);
+}
+
+/// Prints the help of a subcommand when it is asked for.
+bool print_command_help(int argc, char** argv) {
+  const std::vector<std::string> words(argv + 1, argv + argc);
+  const bool asked = std::find(words.begin(), words.end(), "--help") != words.end();
+  if (!asked || words.empty() || !command_help().contains(words.front())) {
+    return false;
+  }
+  std::printf("%s", command_help().at(words.front()).c_str());
+  return true;
+}
+
+}  // namespace
+}  // namespace gorsevalve
+
+int main(int argc, char** argv) {
+  if (gorsevalve::print_command_help(argc, argv)) {
+    return gorsevalve::kExitOk;
+  }
+  absl::SetProgramUsageMessage(
+      "gorsevalve check|apply|status|diff [FILE] [flags]\n"
+      "gorsevalve COMMAND --help tells of one command. See docs/programs.md.");
+  return gorsevalve::run(absl::ParseCommandLine(argc, argv));
+}
--- /dev/null
+++ b/src/standins/caller_main.cc
@@ -0,0 +1,194 @@
+/// standin-caller: many callers at once against one service; checks every answer and prints what it saw
+/// as one JSON object.
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <nlohmann/json.hpp>
+
+#include "programs/program.h"
+#include "standins/caller_model.h"
+#include "tasks/udp_socket.h"
+
+ABSL_FLAG(std::string, service, "", "address of the service, IP:port");
+ABSL_FLAG(std::string, source, "127.200.0.1", "IP that the callers use; ports are given by --port");
+ABSL_FLAG(std::int32_t, port, 20000, "first caller port");
+ABSL_FLAG(std::string, name, "caller", "prefix of the request ids");
+ABSL_FLAG(std::int32_t, feeds, 0, "callers that keep a feed open");
+ABSL_FLAG(std::int32_t, updates, 0, "callers that send updates");
+ABSL_FLAG(std::int32_t, downloads, 0, "callers that fetch documents");
+ABSL_FLAG(std::int32_t, lookups, 0, "callers that ask for single values");
+ABSL_FLAG(std::int32_t, seconds, 10, "how long new work is begun");
+ABSL_FLAG(std::int32_t, pause_ms, 200, "pause between two pieces of work of one caller");
+ABSL_FLAG(std::int32_t, feed_interval_ms, 500, "pause between notifications that is expected");
+ABSL_FLAG(std::uint64_t, seed, 1, "seed of tokens and timeouts");
+
+namespace gorsevalve {
+namespace {
+
+constexpr Duration kTick = std::chrono::milliseconds(10);
+/// Outstanding work may end within this time after the last was begun.
+constexpr Duration kFinish = std::chrono::seconds(8);
+
+/// One caller with its socket.
+class CallerClient : private CallerOutput {
+ public:
+  CallerClient(EventLoop& loop, const CallerConfig& config)
+      : loop_(loop), model_(config, *this, monotonic_now()) {}
+
+  bool start() {
+    auto socket = UdpSocket::open(loop_, model_.config().flow.caller);
+    if (!socket) {
+      fail(socket.error(), kExitFailure);
+      return false;
+    }
+    socket_ = std::move(*socket);
+    socket_->start([this](ByteView datagram, const Endpoint& from) {
+      if (from == model_.config().flow.service) {
+        model_.on_message(datagram, monotonic_now());
+      }
+    });
+    return true;
+  }
+
+  CallerModel& model() { return model_; }
+
+ private:
+  void send(const FlowKey& flow, ByteView message) override {
+    socket_->send(flow.service, message);
+    socket_->flush();
+  }
+
+  EventLoop& loop_;
+  CallerModel model_;
+  std::unique_ptr<UdpSocket> socket_;
+};
+
+class CallerFleet {
+ public:
+  explicit CallerFleet(EventLoop& loop) : loop_(loop) {
+    const std::string source = absl::GetFlag(FLAGS_source);
+    const std::int32_t port = absl::GetFlag(FLAGS_port);
+    next_ = require_endpoint("source", source + ":" + std::to_string(port));
+  }
+
+  bool add(CallerKind kind, int count) {
+    const Endpoint service = require_endpoint("service", absl::GetFlag(FLAGS_service));
+    for (int i = 0; i < count; ++i) {
+      CallerConfig config;
+      config.kind = kind;
+      config.flow = {next_, service};
+      config.name = absl::GetFlag(FLAGS_name) + std::to_string(next_.port);
+      config.seed = absl::GetFlag(FLAGS_seed) * 1000003 + next_.port;
+      config.pause = std::chrono::milliseconds(absl::GetFlag(FLAGS_pause_ms));
+      config.feed_interval = std::chrono::milliseconds(absl::GetFlag(FLAGS_feed_interval_ms));
+      ++next_.port;
+      callers_.push_back(std::make_unique<CallerClient>(loop_, config));
+      if (!callers_.back()->start()) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  void on_tick() {
+    const Instant now = monotonic_now();
+    for (const auto& caller : callers_) {
+      caller->model().on_tick(now);
+    }
+  }
+
+  void stop() {
+    for (const auto& caller : callers_) {
+      caller->model().stop();
+    }
+  }
+
+  [[nodiscard]] bool is_idle() const {
+    return std::all_of(callers_.begin(), callers_.end(),
+                       [](const auto& caller) { return caller->model().is_idle(); });
+  }
+
+  [[nodiscard]] CallerStats stats() const {
+    CallerStats total;
+    for (const auto& caller : callers_) {
+      total.add(caller->model().stats());
+    }
+    return total;
+  }
+
+ private:
+  EventLoop& loop_;
+  Endpoint next_;
+  std::vector<std::unique_ptr<CallerClient>> callers_;
+};
+
+double quantile_ms(std::vector<Duration>& sorted, double share) {
+  if (sorted.empty()) {
+    return 0;
+  }
+  const auto index = static_cast<std::size_t>(share * static_cast<double>(sorted.size() - 1));
+  return std::chrono::duration<double, std::milli>(sorted[index]).count();
+}
+
+void print(CallerStats stats) {
+  std::sort(stats.latencies.begin(), stats.latencies.end());
+  nlohmann::json updates = nlohmann::json::object();
+  for (const auto& [id, fate] : stats.updates) {
+    updates[id] = static_cast<int>(fate);
+  }
+  const nlohmann::json body = {{"requests", stats.requests},
+                               {"answers", stats.answers},
+                               {"wrong_answers", stats.wrong_answers},
+                               {"broken_flows", stats.broken_flows},
+                               {"feeds", stats.feeds},
+                               {"notifications", stats.notifications},
+                               {"feed_moves", stats.feed_moves},
+                               {"downloads", stats.downloads},
+                               {"verdicts_not_run", stats.verdicts_not_run},
+                               {"verdicts_may_have_run", stats.verdicts_may_have_run},
+                               {"verdicts_without_time", stats.verdicts_without_time},
+                               {"timeouts", stats.timeouts},
+                               {"latency_p50_ms", quantile_ms(stats.latencies, 0.5)},
+                               {"latency_p99_ms", quantile_ms(stats.latencies, 0.99)},
+                               {"updates", updates}};
+  std::printf("%s\n", body.dump().c_str());
+}
+
+int run() {
+  EventLoop loop;
+  CallerFleet fleet(loop);
+  const bool started = fleet.add(CallerKind::kFeed, absl::GetFlag(FLAGS_feeds)) &&
+                       fleet.add(CallerKind::kUpdate, absl::GetFlag(FLAGS_updates)) &&
+                       fleet.add(CallerKind::kDownload, absl::GetFlag(FLAGS_downloads)) &&
+                       fleet.add(CallerKind::kLookup, absl::GetFlag(FLAGS_lookups));
+  if (!started) {
+    return kExitFailure;
+  }
+  const Instant stop_at = monotonic_now() + std::chrono::seconds(absl::GetFlag(FLAGS_seconds));
+  loop.every(kTick, [&] {
+    const Instant now = monotonic_now();
+    if (now >= stop_at) {
+      fleet.stop();
+    }
+    fleet.on_tick();
+    if (now >= stop_at && (fleet.is_idle() || now >= stop_at + kFinish)) {
+      loop.stop();
+    }
+  });
+  handle_signals(loop, [&loop] { loop.stop(); });
+  loop.run();
+  print(fleet.stats());
+  return kExitOk;
+}
+
+}  // namespace
+}  // namespace gorsevalve
+
+int main(int argc, char** argv) {
+  absl::SetProgramUsageMessage("standin-caller: callers for tests and experiments.");
+  absl::ParseCommandLine(argc, argv);
+  return gorsevalve::run();
+}
--- /dev/null
+++ b/src/standins/caller_model.cc
@@ -0,0 +1,287 @@
+#include "standins/caller_model.h"
+
+#include <algorithm>
+
+#include "standins/target_model.h"
+
+namespace gorsevalve {
+namespace {
+
+/// RFC 7252 section 4.8: ACK_TIMEOUT, ACK_RANDOM_FACTOR, MAX_RETRANSMIT.
+constexpr Duration kAckTimeout = std::chrono::seconds(2);
+constexpr double kAckRandomFactor = 1.5;
+constexpr int kMaxRetransmit = 4;
+
+Token make_token(std::uint32_t number) {
+  Token token;
+  token.length = 4;
+  for (unsigned i = 0; i < 4; ++i) {
+    token.octets[i] = static_cast<std::uint8_t>(number >> (8U * i));
+  }
+  return token;
+}
+
+std::vector<std::string> split_path(std::string_view path) {
+  std::vector<std::string> segments;
+  while (!path.empty()) {
+    path.remove_prefix(1);
+    const std::size_t end = std::min(path.find('/'), path.size());
+    segments.emplace_back(path.substr(0, end));
+    path.remove_prefix(end);
+  }
+  return segments;
+}
+
+}  // namespace
+
+void CallerStats::add(const CallerStats& other) {
+  requests += other.requests;
+  answers += other.answers;
+  wrong_answers += other.wrong_answers;
+  broken_flows += other.broken_flows;
+  feeds += other.feeds;
+  notifications += other.notifications;
+  feed_moves += other.feed_moves;
+  downloads += other.downloads;
+  verdicts_not_run += other.verdicts_not_run;
+  verdicts_may_have_run += other.verdicts_may_have_run;
+  timeouts += other.timeouts;
+  verdicts_without_time += other.verdicts_without_time;
+  latencies.insert(latencies.end(), other.latencies.begin(), other.latencies.end());
+  updates.insert(other.updates.begin(), other.updates.end());
+}
+
+CallerModel::CallerModel(CallerConfig config, CallerOutput& output, Instant now)
+    : config_(std::move(config)),
+      output_(output),
+      random_(config_.seed),
+      next_message_id_(static_cast<std::uint16_t>(random_())),
+      next_work_(now) {}
+
+bool CallerModel::is_idle() const { return !outstanding_ && next_block_ == 0; }
+
+void CallerModel::send_request(std::uint8_t code, std::string_view path, const std::string& id,
+                               std::optional<std::uint32_t> observe, std::optional<Block> block,
+                               Instant now) {
+  CoapMessage message;
+  message.type = CoapType::kConfirmable;
+  message.code = code;
+  message.message_id = next_message_id_++;
+  message.token = make_token(next_token_++);
+  message.observe = observe;
+  message.path = split_path(path);
+  message.queries = {"id=" + id};
+  message.block2 = block;
+  std::uniform_real_distribution<double> factor(1.0, kAckRandomFactor);
+  Outstanding request;
+  request.id = id;
+  request.message = encode_coap(message);
+  request.token = message.token;
+  request.message_id = message.message_id;
+  request.first_sent = now;
+  request.timeout =
+      Duration(static_cast<std::int64_t>(static_cast<double>(kAckTimeout.count()) * factor(random_)));
+  request.next_send = now + request.timeout;
+  request.sends = 1;
+  outstanding_ = std::move(request);
+  ++stats_.requests;
+  output_.send(config_.flow, outstanding_->message);
+}
+
+void CallerModel::begin_work(Instant now) {
+  const std::string id = config_.name + "-" + std::to_string(next_number_++);
+  switch (config_.kind) {
+    case CallerKind::kFeed:
+      feed_id_ = id;
+      feed_source_.clear();
+      send_request(coap_code::kGet, target_path::kFeed, id, 0, std::nullopt, now);
+      feed_token_ = outstanding_->token;
+      break;
+    case CallerKind::kUpdate:
+      stats_.updates[id] = UpdateFate::kUnknown;
+      send_request(coap_code::kPost, target_path::kUpdate, id, std::nullopt, std::nullopt, now);
+      break;
+    case CallerKind::kDownload:
+      document_.clear();
+      document_id_ = id;
+      next_block_ = 0;
+      send_request(coap_code::kGet, target_path::kDownload, id, std::nullopt,
+                   Block{0, false, kDownloadBlockExponent}, now);
+      break;
+    case CallerKind::kLookup:
+      send_request(coap_code::kGet, target_path::kLookup, id, std::nullopt, std::nullopt, now);
+      break;
+  }
+}
+
+void CallerModel::on_tick(Instant now) {
+  if (outstanding_) {
+    if (now < outstanding_->next_send) {
+      return;
+    }
+    if (outstanding_->sends > kMaxRetransmit) {
+      on_timeout(now);
+      return;
+    }
+    outstanding_->timeout *= 2;
+    outstanding_->next_send = now + outstanding_->timeout;
+    ++outstanding_->sends;
+    output_.send(config_.flow, outstanding_->message);
+    return;
+  }
+  if (feed_open_) {
+    if (now - last_notification_ > kSilentIntervals * config_.feed_interval) {
+      ++stats_.broken_flows;
+      feed_open_ = false;
+      next_work_ = now;
+    }
+    return;
+  }
+  if (!stopping_ && now >= next_work_) {
+    begin_work(now);
+  }
+}
+
+void CallerModel::finish(Instant now, Duration pause) {
+  outstanding_.reset();
+  next_work_ = now + pause;
+}
+
+void CallerModel::on_timeout(Instant now) {
+  ++stats_.timeouts;
+  if (config_.kind == CallerKind::kDownload && next_block_ > 0) {
+    ++stats_.broken_flows;
+    next_block_ = 0;
+  }
+  finish(now, config_.pause);
+}
+
+void CallerModel::on_message(ByteView message, Instant now) {
+  const auto summary = parser_.parse(message);
+  if (!summary) {
+    ++stats_.wrong_answers;
+    return;
+  }
+  if (summary->code == coap_code::kEmpty) {
+    return;
+  }
+  const ByteView payload = parser_.payload();
+  const std::string text(payload.begin(), payload.end());
+  const bool is_feed = config_.kind == CallerKind::kFeed && summary->token == feed_token_;
+  if (summary->type == CoapType::kConfirmable) {
+    // A feed that is not wanted any more is refused (RFC 7641 section 3.6).
+    const CoapType reply = is_feed ? CoapType::kAcknowledgement : CoapType::kReset;
+    output_.send(config_.flow, encode_empty(reply, summary->message_id));
+  }
+  if (is_feed && summary->observe) {
+    on_notification(*summary, text, now);
+    return;
+  }
+  const bool matches = outstanding_ && outstanding_->token == summary->token &&
+                       (summary->type != CoapType::kAcknowledgement ||
+                        summary->message_id == outstanding_->message_id);
+  if (!matches) {
+    return;
+  }
+  on_answer(*summary, text, now);
+}
+
+void CallerModel::on_verdict(const CoapSummary& summary, Instant now) {
+  const bool not_run = summary.code == coap_code::kServiceUnavailable;
+  ++(not_run ? stats_.verdicts_not_run : stats_.verdicts_may_have_run);
+  if (!summary.max_age) {
+    ++stats_.verdicts_without_time;
+  }
+  if (config_.kind == CallerKind::kUpdate) {
+    stats_.updates[outstanding_->id] = not_run ? UpdateFate::kNotRun : UpdateFate::kMayHaveRun;
+  }
+  const Duration wait = std::chrono::seconds(summary.max_age.value_or(1));
+  if (config_.kind == CallerKind::kDownload && next_block_ > 0) {
+    ++stats_.broken_flows;
+    next_block_ = 0;
+  }
+  finish(now, wait);
+}
+
+void CallerModel::on_answer(const CoapSummary& summary, const std::string& text, Instant now) {
+  if (summary.code == coap_code::kServiceUnavailable ||
+      summary.code == coap_code::kGatewayTimeout) {
+    on_verdict(summary, now);
+    return;
+  }
+  ++stats_.answers;
+  stats_.latencies.push_back(now - outstanding_->first_sent);
+  switch (config_.kind) {
+    case CallerKind::kUpdate:
+      if (text == "done " + outstanding_->id) {
+        stats_.updates[outstanding_->id] = UpdateFate::kDone;
+      } else {
+        ++stats_.wrong_answers;
+      }
+      finish(now, config_.pause);
+      return;
+    case CallerKind::kLookup:
+      stats_.wrong_answers += text.starts_with("found " + outstanding_->id + " at ") ? 0 : 1;
+      finish(now, config_.pause);
+      return;
+    case CallerKind::kDownload:
+      on_block(summary, text, now);
+      return;
+    case CallerKind::kFeed:
+      // An answer without Observe: the target refuses the feed.
+      ++stats_.wrong_answers;
+      finish(now, config_.pause);
+      return;
+  }
+}
+
+void CallerModel::on_block(const CoapSummary& summary, const std::string& text, Instant now) {
+  const std::string expected = download_content(document_id_);
+  const bool right = summary.block2 && summary.block2->number == next_block_ &&
+                     expected.compare(document_.size(), text.size(), text) == 0;
+  if (!right) {
+    ++stats_.wrong_answers;
+    next_block_ = 0;
+    finish(now, config_.pause);
+    return;
+  }
+  document_ += text;
+  if (!summary.block2->more) {
+    stats_.wrong_answers += document_ == expected ? 0 : 1;
+    ++stats_.downloads;
+    next_block_ = 0;
+    finish(now, config_.pause);
+    return;
+  }
+  ++next_block_;
+  send_request(coap_code::kGet, target_path::kDownload, document_id_, std::nullopt,
+               Block{next_block_, false, kDownloadBlockExponent}, now);
+}
+
+void CallerModel::on_notification(const CoapSummary& summary, const std::string& text,
+                                  Instant now) {
+  const std::string prefix = "feed " + feed_id_ + " from ";
+  if (!text.starts_with(prefix)) {
+    ++stats_.wrong_answers;
+    return;
+  }
+  if (!feed_open_ && outstanding_ && outstanding_->token == summary.token) {
+    ++stats_.feeds;
+    ++stats_.answers;
+    stats_.latencies.push_back(now - outstanding_->first_sent);
+    outstanding_.reset();
+    feed_open_ = true;
+  } else if (!observe_is_fresher(last_observe_, *summary.observe)) {
+    return;
+  }
+  last_observe_ = *summary.observe;
+  last_notification_ = now;
+  ++stats_.notifications;
+  const std::string source = text.substr(prefix.size());
+  if (!feed_source_.empty() && source != feed_source_) {
+    ++stats_.feed_moves;
+  }
+  feed_source_ = source;
+}
+
+}  // namespace gorsevalve
--- /dev/null
+++ b/src/standins/target_model.cc
@@ -0,0 +1,282 @@
+#include "standins/target_model.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace gorsevalve {
+namespace {
+
+constexpr std::size_t kAnswersRemembered = 20000;
+constexpr std::uint32_t kUnconfirmedLimit = 8;
+/// Every so many notifications one is confirmable, so that dead feeds are found (RFC 7641 4.5).
+constexpr std::uint32_t kConfirmableEvery = 4;
+
+}  // namespace
+
+std::string download_content(const std::string& id) {
+  std::string content;
+  for (std::uint64_t i = 0; content.size() < kDownloadSize; ++i) {
+    content += id + ":" + std::to_string(XXH3_64bits_withSeed(id.data(), id.size(), i)) + ";";
+  }
+  content.resize(kDownloadSize);
+  return content;
+}
+
+TargetModel::TargetModel(TargetModelConfig config, TargetOutput& output, Instant now)
+    : config_(std::move(config)), output_(output), started_(now) {}
+
+Duration TargetModel::service_time(Instant now) const {
+  const Duration age = now - started_;
+  if (age >= config_.cold_for) {
+    return config_.service_time;
+  }
+  const double warm = static_cast<double>(age.count()) / static_cast<double>(config_.cold_for.count());
+  const auto extra = static_cast<double>((config_.cold_service_time - config_.service_time).count());
+  return config_.service_time + Duration(static_cast<std::int64_t>(extra * (1 - warm)));
+}
+
+void TargetModel::answer(const ProxyHeader& header, const Bytes& message) {
+  ProxyHeader reply;
+  reply.flow = header.flow;
+  reply.request_id = header.request_id;
+  reply.target = config_.address;
+  output_.send_answer(reply, message);
+}
+
+void TargetModel::on_datagram(ByteView datagram, Instant now) {
+  const auto decoded = decode_proxy_datagram(datagram);
+  if (!decoded || !decoded->header.request_id) {
+    return;
+  }
+  const ProxyHeader& header = decoded->header;
+  service_ = service_.value_or(header.flow.service);
+  if (header.flow.service != *service_) {
+    ++foreign_datagrams_;
+  }
+  const auto summary = parser_.parse(decoded->payload);
+  if (!summary) {
+    return;
+  }
+  if (summary->code == coap_code::kEmpty) {
+    on_empty(header, *summary);
+  } else if (summary->is_request()) {
+    on_request(header, *summary, decoded->payload, now);
+  }
+  start_jobs(now);
+}
+
+void TargetModel::on_empty(const ProxyHeader& header, const CoapSummary& summary) {
+  for (auto& job : waiting_) {
+    if (summary.type == CoapType::kReset && job.header.request_id == header.request_id) {
+      job.cancelled = true;
+    }
+  }
+  for (auto feed = feeds_.begin(); feed != feeds_.end(); ++feed) {
+    const bool matches = feed->first.flow == header.flow &&
+                         feed->second.last_message_id == summary.message_id;
+    if (!matches) {
+      continue;
+    }
+    if (summary.type == CoapType::kReset) {
+      feeds_.erase(feed);
+    } else {
+      feed->second.unconfirmed = 0;
+    }
+    return;
+  }
+}
+
+void TargetModel::on_request(const ProxyHeader& header, const CoapSummary& summary,
+                             ByteView message, Instant now) {
+  const MessageKey key{header.flow, summary.message_id};
+  const auto known = answered_.find(key);
+  if (known != answered_.end()) {
+    if (!known->second.empty()) {
+      answer(header, known->second);
+    }
+    return;
+  }
+  if (running_.size() >= config_.slots && waiting_.size() >= config_.queue_limit) {
+    answer(header, encode_verdict({Execution::kNotRun, GiveUpReason::kOverload}, summary.type,
+                                  summary.message_id, summary.token));
+    return;
+  }
+  answered_[key] = {};
+  answered_order_.push_back(key);
+  if (answered_order_.size() > kAnswersRemembered) {
+    answered_.erase(answered_order_.front());
+    answered_order_.pop_front();
+  }
+  const bool continues = summary.block2 && summary.block2->number > 0;
+  if (!continues) {
+    last_new_work_ = now;
+  }
+  waiting_.push_back({header, Bytes(message.begin(), message.end()), now});
+}
+
+void TargetModel::start_jobs(Instant now) {
+  while (!waiting_.empty() && running_.size() < config_.slots) {
+    Job job = std::move(waiting_.front());
+    waiting_.pop_front();
+    if (job.cancelled) {
+      continue;
+    }
+    job.started = now;
+    running_.push_back(std::move(job));
+  }
+}
+
+void TargetModel::on_tick(Instant now) {
+  bool finished = true;
+  while (finished) {
+    finished = false;
+    start_jobs(now);
+    for (auto job = running_.begin(); job != running_.end(); ++job) {
+      if (now - job->started >= service_time(job->started)) {
+        const Job done = std::move(*job);
+        running_.erase(job);
+        finish(done, now);
+        finished = true;
+        break;
+      }
+    }
+  }
+  std::vector<TokenKey> dead;
+  for (auto& [key, feed] : feeds_) {
+    if (now < feed.next_at) {
+      continue;
+    }
+    if (feed.unconfirmed > kUnconfirmedLimit) {
+      dead.push_back(key);
+      continue;
+    }
+    const bool confirmable = feed.sequence % kConfirmableEvery == 0;
+    notify(feed, confirmable ? CoapType::kConfirmable : CoapType::kNonConfirmable,
+           next_message_id_++, now);
+    feed.unconfirmed += confirmable ? 1 : 0;
+  }
+  for (const auto& key : dead) {
+    feeds_.erase(key);
+  }
+}
+
+std::string TargetModel::query_id() const {
+  constexpr std::string_view kPrefix = "id=";
+  for (const auto& query : parser_.queries()) {
+    if (query.starts_with(kPrefix)) {
+      return query.substr(kPrefix.size());
+    }
+  }
+  return {};
+}
+
+void TargetModel::finish(const Job& job, Instant now) {
+  const auto summary = parser_.parse(job.message);
+  const std::string id = query_id();
+  const std::string path = parser_.path();
+  ++requests_run_;
+  CoapMessage reply;
+  reply.type = summary->type == CoapType::kConfirmable ? CoapType::kAcknowledgement
+                                                       : CoapType::kNonConfirmable;
+  reply.message_id = summary->message_id;
+  reply.token = summary->token;
+  if (path == target_path::kFeed && summary->observe) {
+    run_feed(job, *summary, id, now);
+    return;
+  }
+  if (path == target_path::kUpdate && summary->code == coap_code::kPost) {
+    ++executions_[id];
+    reply.code = coap_code::kChanged;
+    const std::string text = "done " + id;
+    reply.payload.assign(text.begin(), text.end());
+  } else if (path == target_path::kDownload) {
+    answered_[MessageKey{job.header.flow, summary->message_id}] = run_download(*summary, id);
+    answer(job.header, answered_[MessageKey{job.header.flow, summary->message_id}]);
+    return;
+  } else if (path == target_path::kLookup) {
+    reply.code = coap_code::kContent;
+    const std::string text = "found " + id + " at " + config_.name;
+    reply.payload.assign(text.begin(), text.end());
+  } else {
+    reply.code = coap_code::kNotFound;
+  }
+  Bytes message = encode_coap(reply);
+  answer(job.header, message);
+  answered_[MessageKey{job.header.flow, summary->message_id}] = std::move(message);
+}
+
+Bytes TargetModel::run_download(const CoapSummary& summary, const std::string& id) {
+  const std::string content = download_content(id);
+  const std::uint32_t number = summary.block2 ? summary.block2->number : 0;
+  const std::size_t start = std::min(std::size_t{number} * kDownloadBlockSize, content.size());
+  const std::size_t size = std::min(kDownloadBlockSize, content.size() - start);
+  CoapMessage reply;
+  reply.type = summary.type == CoapType::kConfirmable ? CoapType::kAcknowledgement
+                                                      : CoapType::kNonConfirmable;
+  reply.code = coap_code::kContent;
+  reply.message_id = summary.message_id;
+  reply.token = summary.token;
+  reply.block2 = Block{number, start + size < content.size(), kDownloadBlockExponent};
+  reply.payload.assign(content.begin() + static_cast<std::ptrdiff_t>(start),
+                       content.begin() + static_cast<std::ptrdiff_t>(start + size));
+  return encode_coap(reply);
+}
+
+void TargetModel::run_feed(const Job& job, const CoapSummary& summary, const std::string& id,
+                           Instant now) {
+  const TokenKey key{job.header.flow, summary.token};
+  const CoapType reply_type = summary.type == CoapType::kConfirmable ? CoapType::kAcknowledgement
+                                                                     : CoapType::kNonConfirmable;
+  if (*summary.observe == 1) {
+    feeds_.erase(key);
+    CoapMessage reply;
+    reply.type = reply_type;
+    reply.code = coap_code::kContent;
+    reply.message_id = summary.message_id;
+    reply.token = summary.token;
+    answer(job.header, encode_coap(reply));
+    return;
+  }
+  Feed& feed = feeds_[key];
+  feed.header = job.header;
+  feed.token = summary.token;
+  feed.id = id;
+  feed.unconfirmed = 0;
+  notify(feed, reply_type, summary.message_id, now);
+}
+
+void TargetModel::notify(Feed& feed, CoapType type, std::uint16_t message_id, Instant now) {
+  feed.next_at = now + config_.feed_interval;
+  feed.sequence = (feed.sequence + 1) & kObserveMask;
+  CoapMessage message;
+  message.type = type;
+  message.code = coap_code::kContent;
+  message.message_id = message_id;
+  message.token = feed.token;
+  message.observe = feed.sequence;
+  const std::string text = "feed " + feed.id + " from " + config_.name;
+  message.payload.assign(text.begin(), text.end());
+  if (type != CoapType::kAcknowledgement) {
+    feed.last_message_id = message_id;
+  }
+  answer(feed.header, encode_coap(message));
+}
+
+TargetReport TargetModel::report(Instant now) {
+  TargetReport fresh;
+  fresh.target = config_.address;
+  fresh.connections = static_cast<std::uint32_t>(feeds_.size());
+  fresh.running = static_cast<std::uint32_t>(running_.size() + waiting_.size());
+  if (config_.misleading_report) {
+    fresh.connections = 0;
+    fresh.running = 0;
+  }
+  reports_.emplace_back(now, fresh);
+  while (reports_.size() > 1 && now - reports_[1].first >= config_.report_lag) {
+    reports_.pop_front();
+  }
+  return reports_.front().second;
+}
+
+}  // namespace gorsevalve
