--- /dev/null
+++ b/src/standins/target_model.h
@@ -0,0 +1,134 @@
+/// Behaviour of a back end, for the simulator and the stand-in program: a CoAP server behind PROXY
+/// headers with two slots, a short queue, feeds, downloads, once-only updates, draining, cold start,
+/// shedding and cancellation. It counts every execution by the caller's own id.
+#pragma once
+
+#include <absl/container/flat_hash_map.h>
+
+#include <deque>
+#include <map>
+#include <string>
+
+#include "codec/coap.h"
+#include "codec/proxy_header.h"
+#include "core/balancer/partition_store.h"
+#include "core/balancer/target_board.h"
+#include "model/time.h"
+
+namespace gorsevalve {
+
+/// Resources that every target serves.
+namespace target_path {
+/// GET with Observe: a feed. Query "id=X" names it.
+constexpr std::string_view kFeed = "/feed";
+/// POST: runs an update that may not be repeated. Query "id=X" names it.
+constexpr std::string_view kUpdate = "/update";
+/// GET: a document of kDownloadSize octets in blocks, made from the query "id=X".
+constexpr std::string_view kDownload = "/download";
+/// GET: answers with the query "id=X".
+constexpr std::string_view kLookup = "/lookup";
+}  // namespace target_path
+
+constexpr std::size_t kDownloadSize = 4096;
+constexpr std::uint8_t kDownloadBlockExponent = 4;  // 2^(4+4) = 256 octets
+constexpr std::size_t kDownloadBlockSize = 256;
+
+/// The document that belongs to an id.
+std::string download_content(const std::string& id);
+
+struct TargetModelConfig {
+  std::string name;
+  Endpoint address;
+  std::uint32_t slots = 2;
+  std::uint32_t max_connections = 2000;
+  std::uint32_t queue_limit = 16;
+  Duration service_time = std::chrono::milliseconds(2);
+  /// Service time right after the start, falling to service_time within cold_for.
+  Duration cold_service_time = std::chrono::milliseconds(6);
+  Duration cold_for = std::chrono::seconds(5);
+  Duration feed_interval = std::chrono::milliseconds(500);
+  /// Age of the figures that the health endpoint shows.
+  Duration report_lag = std::chrono::milliseconds(500);
+  /// The health endpoint says well whatever happens, or reports no load.
+  bool misleading_report = false;
+};
+
+class TargetOutput {
+ public:
+  virtual ~TargetOutput() = default;
+  /// Sends an answer towards the balancers. The header names flow, request id and target.
+  virtual void send_answer(const ProxyHeader& header, ByteView message) = 0;
+};
+
+class TargetModel {
+ public:
+  TargetModel(TargetModelConfig config, TargetOutput& output, Instant now);
+
+  void on_datagram(ByteView datagram, Instant now);
+  /// To be called every few milliseconds.
+  void on_tick(Instant now);
+
+  /// What the health endpoint says now.
+  [[nodiscard]] TargetReport report(Instant now);
+
+  /// How often each update id was run.
+  [[nodiscard]] const std::map<std::string, std::uint32_t>& executions() const {
+    return executions_;
+  }
+  /// Datagrams that came for a service other than the first one seen.
+  [[nodiscard]] std::uint64_t foreign_datagrams() const { return foreign_datagrams_; }
+  /// New flows and new requests since the start, and when the last one came.
+  [[nodiscard]] std::uint64_t requests_run() const { return requests_run_; }
+  [[nodiscard]] Instant last_new_work() const { return last_new_work_; }
+  [[nodiscard]] std::size_t open_feeds() const { return feeds_.size(); }
+  [[nodiscard]] const TargetModelConfig& config() const { return config_; }
+
+ private:
+  struct Job {
+    ProxyHeader header;
+    Bytes message;
+    Instant started;
+    bool cancelled = false;
+  };
+  struct Feed {
+    ProxyHeader header;
+    Token token;
+    std::string id;
+    std::uint32_t sequence = 0;
+    Instant next_at;
+    std::uint16_t last_message_id = 0;
+    std::uint32_t unconfirmed = 0;
+  };
+
+  void on_empty(const ProxyHeader& header, const CoapSummary& summary);
+  void on_request(const ProxyHeader& header, const CoapSummary& summary, ByteView message,
+                  Instant now);
+  void start_jobs(Instant now);
+  void finish(const Job& job, Instant now);
+  void answer(const ProxyHeader& header, const Bytes& message);
+  void run_feed(const Job& job, const CoapSummary& summary, const std::string& id, Instant now);
+  void notify(Feed& feed, CoapType type, std::uint16_t message_id, Instant now);
+  Bytes run_download(const CoapSummary& summary, const std::string& id);
+  [[nodiscard]] std::string query_id() const;
+  [[nodiscard]] Duration service_time(Instant now) const;
+
+  TargetModelConfig config_;
+  TargetOutput& output_;
+  Instant started_;
+  CoapParser parser_;
+  std::deque<Job> running_;
+  std::deque<Job> waiting_;
+  std::map<std::string, std::uint32_t> executions_;
+  absl::flat_hash_map<TokenKey, Feed> feeds_;
+  /// Answers by message id, for duplicates (RFC 7252 section 4.5).
+  absl::flat_hash_map<MessageKey, Bytes> answered_;
+  std::deque<MessageKey> answered_order_;
+  std::uint16_t next_message_id_ = 1;
+  std::optional<Endpoint> service_;
+  std::uint64_t foreign_datagrams_ = 0;
+  std::uint64_t requests_run_ = 0;
+  Instant last_new_work_;
+  std::deque<std::pair<Instant, TargetReport>> reports_;
+};
+
+}  // namespace gorsevalve
--- /dev/null
+++ b/src/storage/posix_disk.h
@@ -0,0 +1,40 @@
+/// Disk on a folder of the file system.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "storage/disk.h"
+
+namespace gorsevalve {
+
+class PosixDisk : public Disk {
+ public:
+  /// Opens the folder, making it (mode 0700) when it does not exist, and locks it against a second
+  /// process.
+  static StorageResult<std::unique_ptr<PosixDisk>> open(const std::string& folder);
+  ~PosixDisk() override;
+
+  StorageResult<std::vector<std::string>> list() override;
+  StorageResult<Bytes> read(const std::string& name) override;
+  StorageResult<void> append(const std::string& name, ByteView bytes) override;
+  StorageResult<void> sync(const std::string& name) override;
+  StorageResult<void> truncate(const std::string& name, std::uint64_t size) override;
+  StorageResult<void> replace(const std::string& name, ByteView bytes) override;
+  StorageResult<void> remove(const std::string& name) override;
+
+ private:
+  explicit PosixDisk(std::string folder) : folder_(std::move(folder)) {}
+  [[nodiscard]] std::string path(const std::string& name) const { return folder_ + "/" + name; }
+  StorageResult<int> open_for_append(const std::string& name);
+  StorageResult<void> sync_folder();
+  void close_file(const std::string& name);
+
+  std::string folder_;
+  int lock_descriptor_ = -1;
+  /// Files that are open for appending.
+  std::map<std::string, int> open_files_;
+};
+
+}  // namespace gorsevalve
--- /dev/null
+++ b/src/tasks/balancer_task.cc
@@ -0,0 +1,183 @@
+#include "tasks/balancer_task.h"
+
+#include <algorithm>
+#include <array>
+
+#include "codec/archive.h"
+#include "storage/log_store.h"
+#include "tasks/log.h"
+
+namespace gorsevalve {
+namespace {
+
+constexpr const char* kFleetName = "fleet";
+/// After its partitions have moved, a stopping balancer relays this long what the fabric still sends
+/// it, since the list of live machines lags.
+constexpr Duration kLinger = std::chrono::seconds(3);
+
+/// The fleet state kept over a restart; an empty one when there is none or it is damaged, since the
+/// control replicas give it again.
+FleetState read_fleet(Disk* disk) {
+  if (disk == nullptr) {
+    return {};
+  }
+  const auto names = disk->list();
+  if (!names || std::find(names->begin(), names->end(), kFleetName) == names->end()) {
+    return {};
+  }
+  const auto bytes = disk->read(kFleetName);
+  const auto body = bytes ? decode_frame(*bytes) : std::nullopt;
+  return body ? decode_archive<FleetState>(*body).value_or(FleetState{}) : FleetState{};
+}
+
+}  // namespace
+
+tl::expected<std::unique_ptr<BalancerTask>, std::string> BalancerTask::open(
+    EventLoop& loop, BalancerTaskConfig config, Disk* disk) {
+  auto socket = UdpSocket::open(loop, config.self.address);
+  if (!socket) {
+    return tl::unexpected(socket.error());
+  }
+  std::unique_ptr<BalancerTask> task(
+      new BalancerTask(loop, std::move(config), disk, read_fleet(disk)));
+  task->socket_ = std::move(*socket);
+  task->start();
+  return task;
+}
+
+BalancerTask::BalancerTask(EventLoop& loop, BalancerTaskConfig config, Disk* disk,
+                           FleetState stored)
+    : loop_(loop),
+      config_(std::move(config)),
+      disk_(disk),
+      envelope_(config_.cluster, config_.keys, config_.self.address, config_.self.incarnation),
+      balancer_({config_.self, {}}, *this),
+      control_(config_.self, config_.control, std::move(stored), *this),
+      network_(loop, [this](ByteView frame) { return on_frame(frame); }) {}
+
+void BalancerTask::start() {
+  if (control_.fleet().revision > 0) {
+    balancer_.on_fleet(control_.fleet(), monotonic_now());
+  }
+  socket_->start([this](ByteView datagram, const Endpoint& /*from*/) { on_datagram(datagram); });
+  loop_.every(Balancer::kTickInterval, [this] { on_tick(); });
+}
+
+void BalancerTask::on_datagram(ByteView datagram) {
+  if (!Envelope::looks_sealed(datagram)) {
+    balancer_.on_datagram(datagram, monotonic_now());
+    return;
+  }
+  const auto opened = envelope_.open(datagram);
+  if (!opened || opened->kind != MessageKind::kPeer) {
+    ++messages_refused_;
+    return;
+  }
+  balancer_.on_peer_message(opened->sender, std::get<PeerMessage>(opened->message),
+                            monotonic_now());
+}
+
+std::optional<Endpoint> BalancerTask::on_frame(ByteView frame) {
+  const auto opened = envelope_.open(frame);
+  if (!opened || opened->kind != MessageKind::kNode) {
+    ++messages_refused_;
+    return std::nullopt;
+  }
+  control_.on_message(opened->sender, std::get<NodeMessage>(opened->message), monotonic_now());
+  return opened->sender;
+}
+
+void BalancerTask::on_tick() {
+  const Instant now = monotonic_now();
+  balancer_.on_tick(now);
+  control_.on_tick(balancer_.settled_revision(), now);
+  socket_->flush();
+  if (leaving_ && control_.may_stop() && balancer_.has_released_all(now)) {
+    may_stop_at_ = may_stop_at_.value_or(now + kLinger);
+  }
+  if (may_stop_at_ && now >= *may_stop_at_) {
+    log_event(LogLevel::kInfo, "stopped");
+    loop_.stop();
+  }
+}
+
+void BalancerTask::leave() {
+  leaving_ = true;
+  control_.leave();
+  log_event(LogLevel::kInfo, "leaving");
+}
+
+BalancerSnapshot BalancerTask::snapshot() const {
+  BalancerSnapshot snapshot;
+  snapshot.counters = balancer_.counters();
+  snapshot.revision = balancer_.revision();
+  snapshot.settled_revision = balancer_.settled_revision();
+  snapshot.digest = fleet_digest(control_.fleet());
+  snapshot.flows = balancer_.flow_count();
+  snapshot.requests = balancer_.request_count();
+  snapshot.messages_refused = messages_refused_;
+  return snapshot;
+}
+
+std::vector<Target> BalancerTask::polled_targets() const {
+  std::vector<Target> targets;
+  if (balancer_.view() == nullptr) {
+    return targets;
+  }
+  for (const auto& service : balancer_.view()->state().settings.services) {
+    for (const auto& target : service.targets) {
+      if (target.health.port != 0) {
+        targets.push_back(target);
+      }
+    }
+  }
+  return targets;
+}
+
+void BalancerTask::on_target_report(const TargetReport& report) {
+  balancer_.on_target_report(report, monotonic_now());
+}
+
+void BalancerTask::send_to_caller(const FlowKey& flow, ByteView message) {
+  std::array<std::uint8_t, kMaxProxyHeaderSize> head{};
+  const std::size_t size = encode_proxy_header({flow, {}, {}, {}}, head.data());
+  socket_->send(config_.egress, ByteView(head.data(), size), message);
+}
+
+void BalancerTask::send_to_target(const Endpoint& target, const ProxyHeader& header,
+                                  ByteView message) {
+  std::array<std::uint8_t, kMaxProxyHeaderSize> head{};
+  const std::size_t size = encode_proxy_header(header, head.data());
+  socket_->send(target, ByteView(head.data(), size), message);
+}
+
+void BalancerTask::relay(const Endpoint& peer, const ProxyHeader& header, ByteView payload) {
+  send_to_target(peer, header, payload);
+}
+
+void BalancerTask::send_peer(const Endpoint& peer, const PeerMessage& message) {
+  socket_->send(peer, envelope_.seal(message));
+}
+
+void BalancerTask::send_control(const Endpoint& replica, const NodeMessage& message) {
+  network_.send(replica, envelope_.seal(message), true);
+}
+
+void BalancerTask::on_fleet(const FleetState& fleet, Instant now) {
+  if (disk_ != nullptr) {
+    const auto kept = disk_->replace(kFleetName, encode_frame(encode_archive(fleet)));
+    if (!kept) {
+      // The copy only shortens the next start; the control replicas have the state.
+      log_event(LogLevel::kWarning, "fleet_not_kept", {{"error", kept.error().message}});
+    }
+  }
+  balancer_.on_fleet(fleet, now);
+  log_event(LogLevel::kInfo, "revision_in_force",
+            {{"revision", fleet.revision},
+             {"settings_revision", fleet.settings_revision},
+             {"members", fleet.members.size()}});
+}
+
+void BalancerTask::on_lease(Instant until) { balancer_.on_lease(until); }
+
+}  // namespace gorsevalve
--- /dev/null
+++ b/src/tasks/balancer_task.h
@@ -0,0 +1,85 @@
+/// The balancer's main task: owns its sockets and the balancer core, and moves messages between them.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <tl/expected.hpp>
+#include <vector>
+
+#include "codec/envelope.h"
+#include "core/balancer/balancer.h"
+#include "core/balancer/control_client.h"
+#include "storage/disk.h"
+#include "tasks/event_loop.h"
+#include "tasks/frame_network.h"
+#include "tasks/udp_socket.h"
+
+namespace gorsevalve {
+
+struct BalancerTaskConfig {
+  Member self;
+  /// Where datagrams for callers go: the fabric's address for them.
+  Endpoint egress;
+  std::vector<Endpoint> control;
+  std::string cluster;
+  ClusterKeys keys;
+};
+
+/// What the administration task shows of a balancer.
+struct BalancerSnapshot {
+  BalancerCounters counters;
+  Revision revision = 0;
+  Revision settled_revision = 0;
+  std::uint64_t digest = 0;
+  std::size_t flows = 0;
+  std::size_t requests = 0;
+  std::uint64_t messages_refused = 0;
+};
+
+class BalancerTask : private BalancerOutput, private ControlClientOutput {
+ public:
+  /// `disk` keeps the fleet state over a restart; nullptr for none.
+  static tl::expected<std::unique_ptr<BalancerTask>, std::string> open(EventLoop& loop,
+                                                                       BalancerTaskConfig config,
+                                                                       Disk* disk);
+
+  /// Begins a planned stop: the task ends the loop when its partitions have moved.
+  void leave();
+
+  [[nodiscard]] BalancerSnapshot snapshot() const;
+  /// Targets with a health endpoint, for the poller.
+  [[nodiscard]] std::vector<Target> polled_targets() const;
+  void on_target_report(const TargetReport& report);
+
+ private:
+  BalancerTask(EventLoop& loop, BalancerTaskConfig config, Disk* disk, FleetState stored);
+
+  void start();
+  void on_datagram(ByteView datagram);
+  std::optional<Endpoint> on_frame(ByteView frame);
+  void on_tick();
+
+  void send_to_caller(const FlowKey& flow, ByteView message) override;
+  void send_to_target(const Endpoint& target, const ProxyHeader& header,
+                      ByteView message) override;
+  void relay(const Endpoint& peer, const ProxyHeader& header, ByteView payload) override;
+  void send_peer(const Endpoint& peer, const PeerMessage& message) override;
+  void send_control(const Endpoint& replica, const NodeMessage& message) override;
+  void on_fleet(const FleetState& fleet, Instant now) override;
+  void on_lease(Instant until) override;
+
+  EventLoop& loop_;
+  BalancerTaskConfig config_;
+  Disk* disk_;
+  Envelope envelope_;
+  Balancer balancer_;
+  ControlClient control_;
+  std::unique_ptr<UdpSocket> socket_;
+  FrameNetwork network_;
+  std::uint64_t messages_refused_ = 0;
+  bool leaving_ = false;
+  std::optional<Instant> may_stop_at_;
+};
+
+}  // namespace gorsevalve
--- /dev/null
+++ b/src/tasks/event_loop.cc
@@ -0,0 +1,97 @@
+#include "tasks/event_loop.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace gorsevalve {
+namespace {
+
+/// Longest wait of one turn, so that `stop` from a signal handler is seen.
+constexpr std::int32_t kMaxWaitMs = 100;
+
+}  // namespace
+
+Instant monotonic_now() {
+  const auto now = std::chrono::steady_clock::now().time_since_epoch();
+  return Instant(std::chrono::duration_cast<Duration>(now));
+}
+
+/// One h2o timeout with its action. The entry is the first member, so that a callback finds the timer.
+struct EventLoop::Timer {
+  h2o_timeout_entry_t entry{};
+  h2o_timeout_t timeout{};
+  h2o_loop_t* loop = nullptr;
+  bool repeats = false;
+  bool finished = false;
+  std::function<void()> action;
+
+  ~Timer() {
+    h2o_timeout_unlink(&entry);
+    h2o_timeout_dispose(loop, &timeout);
+  }
+
+  static void on_timeout(h2o_timeout_entry_t* entry) {
+    auto* timer = reinterpret_cast<Timer*>(entry);
+    if (timer->repeats) {
+      h2o_timeout_link(timer->loop, &timer->timeout, &timer->entry);
+    }
+    timer->action();
+    timer->finished = !timer->repeats;
+  }
+};
+
+/// A message in the queue between threads.
+struct EventLoop::Letter {
+  h2o_multithread_message_t message{};
+  std::function<void()> action;
+};
+
+EventLoop::EventLoop() : loop_(h2o_evloop_create()), queue_(h2o_multithread_create_queue(loop_)) {
+  h2o_multithread_register_receiver(queue_, &receiver_, &EventLoop::on_letters);
+}
+
+EventLoop::~EventLoop() {
+  timers_.clear();
+  // h2o 2.2 cannot destroy a loop that still has sockets; the loop lives as long as the process.
+}
+
+void EventLoop::run() {
+  while (!stopping_.load()) {
+    h2o_evloop_run(loop_, kMaxWaitMs);
+  }
+}
+
+void EventLoop::every(Duration interval, std::function<void()> action) {
+  after(interval, std::move(action));
+  timers_.back()->repeats = true;
+}
+
+void EventLoop::after(Duration delay, std::function<void()> action) {
+  std::erase_if(timers_, [](const std::unique_ptr<Timer>& timer) { return timer->finished; });
+  auto timer = std::make_unique<Timer>();
+  timer->loop = loop_;
+  timer->action = std::move(action);
+  timer->entry.cb = &Timer::on_timeout;
+  const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(delay).count();
+  h2o_timeout_init(loop_, &timer->timeout, static_cast<std::uint64_t>(milliseconds));
+  h2o_timeout_link(loop_, &timer->timeout, &timer->entry);
+  timers_.push_back(std::move(timer));
+}
+
+void EventLoop::post(std::function<void()> action) {
+  auto* letter = new Letter;
+  letter->action = std::move(action);
+  h2o_multithread_send_message(&receiver_, &letter->message);
+}
+
+void EventLoop::on_letters(h2o_multithread_receiver_t* /*receiver*/, h2o_linklist_t* messages) {
+  while (!h2o_linklist_is_empty(messages)) {
+    auto* message = H2O_STRUCT_FROM_MEMBER(h2o_multithread_message_t, link, messages->next);
+    h2o_linklist_unlink(&message->link);
+    const std::unique_ptr<Letter> letter(reinterpret_cast<Letter*>(message));
+    letter->action();
+  }
+}
+
+}  // namespace gorsevalve
--- /dev/null
+++ b/src/tasks/event_loop.h
@@ -0,0 +1,52 @@
+/// An h2o event loop that belongs to one task, with timers and a mailbox for other threads.
+#pragma once
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "model/time.h"
+#include "tasks/h2o.h"
+
+namespace gorsevalve {
+
+/// Reading of the monotonic clock.
+Instant monotonic_now();
+
+class EventLoop {
+ public:
+  EventLoop();
+  ~EventLoop();
+  EventLoop(const EventLoop&) = delete;
+  EventLoop& operator=(const EventLoop&) = delete;
+
+  /// Runs until `stop` is called.
+  void run();
+  /// Ends `run`. May be called from any thread and from a signal handler.
+  void stop() { stopping_.store(true); }
+
+  /// Calls `action` every `interval`, from now until the loop is destroyed.
+  void every(Duration interval, std::function<void()> action);
+  /// Calls `action` once after `delay`.
+  void after(Duration delay, std::function<void()> action);
+
+  /// Runs `action` on this loop's thread. May be called from any thread: this is how tasks send
+  /// messages to each other.
+  void post(std::function<void()> action);
+
+  [[nodiscard]] h2o_loop_t* raw() { return loop_; }
+
+ private:
+  struct Timer;
+  struct Letter;
+  static void on_letters(h2o_multithread_receiver_t* receiver, h2o_linklist_t* messages);
+
+  h2o_loop_t* loop_;
+  h2o_multithread_queue_t* queue_;
+  h2o_multithread_receiver_t receiver_{};
+  std::atomic<bool> stopping_{false};
+  std::vector<std::unique_ptr<Timer>> timers_;
+};
+
+}  // namespace gorsevalve
--- /dev/null
+++ b/src/tasks/frame_network.cc
@@ -0,0 +1,208 @@
+#include "tasks/frame_network.h"
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+#include <deque>
+
+#include "codec/envelope.h"
+#include "tasks/socket_address.h"
+
+namespace gorsevalve {
+namespace {
+
+constexpr std::size_t kLengthSize = 4;
+/// Octets that may wait on one connection.
+constexpr std::size_t kMaxWaiting = 2 * kMaxEnvelopeSize;
+
+Bytes with_length(const Bytes& frame) {
+  const std::uint32_t length = htonl(static_cast<std::uint32_t>(frame.size()));
+  Bytes out(kLengthSize);
+  std::memcpy(out.data(), &length, kLengthSize);
+  out.insert(out.end(), frame.begin(), frame.end());
+  return out;
+}
+
+}  // namespace
+
+struct FrameNetwork::Connection {
+  FrameNetwork* network = nullptr;
+  h2o_socket_t* socket = nullptr;
+  bool connected = false;
+  std::optional<Endpoint> peer;
+  std::deque<Bytes> waiting;
+  std::size_t waiting_size = 0;
+  bool writing = false;
+};
+
+FrameNetwork::FrameNetwork(EventLoop& loop, Receiver receiver)
+    : loop_(loop), receiver_(std::move(receiver)) {}
+
+FrameNetwork::~FrameNetwork() {
+  while (!connections_.empty()) {
+    close(*connections_.front());
+  }
+  if (listener_ != nullptr) {
+    h2o_socket_close(listener_);
+  }
+}
+
+tl::expected<void, std::string> FrameNetwork::listen(const Endpoint& address) {
+  const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  const int on = 1;
+  ::setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  const sockaddr_in raw = to_sockaddr(address);
+  const bool bound =
+      ::bind(descriptor, reinterpret_cast<const sockaddr*>(&raw), sizeof(raw)) == 0 &&
+      ::listen(descriptor, SOMAXCONN) == 0;
+  if (!bound) {
+    const std::string message = "listen " + to_string(address) + ": " + std::strerror(errno);
+    ::close(descriptor);
+    return tl::unexpected(message);
+  }
+  listener_ = h2o_evloop_socket_create(loop_.raw(), descriptor, H2O_SOCKET_FLAG_DONT_READ);
+  listener_->data = this;
+  h2o_socket_read_start(listener_, [](h2o_socket_t* socket, const char* /*error*/) {
+    static_cast<FrameNetwork*>(socket->data)->on_accept();
+  });
+  return {};
+}
+
+void FrameNetwork::on_accept() {
+  while (h2o_socket_t* socket = h2o_evloop_socket_accept(listener_)) {
+    Connection* connection = adopt(socket);
+    connection->connected = true;
+    h2o_socket_read_start(socket, [](h2o_socket_t* raw, const char* error) {
+      auto* found = static_cast<Connection*>(raw->data);
+      found->network->on_read(*found, error);
+    });
+  }
+}
+
+FrameNetwork::Connection* FrameNetwork::adopt(h2o_socket_t* socket) {
+  auto connection = std::make_unique<Connection>();
+  connection->network = this;
+  connection->socket = socket;
+  socket->data = connection.get();
+  connections_.push_back(std::move(connection));
+  return connections_.back().get();
+}
+
+void FrameNetwork::dial(const Endpoint& to) {
+  sockaddr_in raw = to_sockaddr(to);
+  h2o_socket_t* socket =
+      h2o_socket_connect(loop_.raw(), reinterpret_cast<sockaddr*>(&raw), sizeof(raw),
+                         [](h2o_socket_t* connected, const char* error) {
+                           auto* found = static_cast<Connection*>(connected->data);
+                           found->network->on_connected(*found, error);
+                         });
+  if (socket == nullptr) {
+    return;
+  }
+  Connection* connection = adopt(socket);
+  connection->peer = to;
+  by_peer_[to] = connection;
+}
+
+void FrameNetwork::on_connected(Connection& connection, const char* error) {
+  if (error != nullptr) {
+    close(connection);
+    return;
+  }
+  connection.connected = true;
+  h2o_socket_read_start(connection.socket, [](h2o_socket_t* socket, const char* read_error) {
+    auto* found = static_cast<Connection*>(socket->data);
+    found->network->on_read(*found, read_error);
+  });
+  write_next(connection);
+}
+
+void FrameNetwork::on_read(Connection& connection, const char* error) {
+  if (error != nullptr || !take_frames(connection)) {
+    close(connection);
+  }
+}
+
+bool FrameNetwork::take_frames(Connection& connection) {
+  while (connection.socket->input->size >= kLengthSize) {
+    const auto* bytes = reinterpret_cast<const std::uint8_t*>(connection.socket->input->bytes);
+    std::uint32_t length = 0;
+    std::memcpy(&length, bytes, kLengthSize);
+    length = ntohl(length);
+    if (length > kMaxEnvelopeSize) {
+      return false;
+    }
+    if (connection.socket->input->size < kLengthSize + length) {
+      return true;
+    }
+    const Bytes frame(bytes + kLengthSize, bytes + kLengthSize + length);
+    h2o_buffer_consume(&connection.socket->input, kLengthSize + length);
+    const std::optional<Endpoint> sender = receiver_(frame);
+    if (!sender) {
+      return false;
+    }
+    if (connection.peer != sender || by_peer_[*sender] != &connection) {
+      connection.peer = sender;
+      by_peer_[*sender] = &connection;
+    }
+  }
+  return true;
+}
+
+void FrameNetwork::send(const Endpoint& to, Bytes frame, bool may_dial) {
+  auto found = by_peer_.find(to);
+  if (found == by_peer_.end() && may_dial) {
+    dial(to);
+    found = by_peer_.find(to);
+  }
+  if (found == by_peer_.end()) {
+    return;
+  }
+  Connection& connection = *found->second;
+  if (connection.waiting_size + frame.size() > kMaxWaiting) {
+    return;
+  }
+  connection.waiting.push_back(with_length(frame));
+  connection.waiting_size += connection.waiting.back().size();
+  write_next(connection);
+}
+
+void FrameNetwork::write_next(Connection& connection) {
+  if (!connection.connected || connection.writing || connection.waiting.empty()) {
+    return;
+  }
+  connection.writing = true;
+  Bytes& frame = connection.waiting.front();
+  h2o_iovec_t part = h2o_iovec_init(frame.data(), frame.size());
+  h2o_socket_write(connection.socket, &part, 1, [](h2o_socket_t* socket, const char* error) {
+    auto* written = static_cast<Connection*>(socket->data);
+    FrameNetwork* network = written->network;
+    if (error != nullptr) {
+      network->close(*written);
+      return;
+    }
+    written->writing = false;
+    written->waiting_size -= written->waiting.front().size();
+    written->waiting.pop_front();
+    network->write_next(*written);
+  });
+}
+
+void FrameNetwork::close(Connection& connection) {
+  if (connection.peer) {
+    const auto found = by_peer_.find(*connection.peer);
+    if (found != by_peer_.end() && found->second == &connection) {
+      by_peer_.erase(found);
+    }
+  }
+  h2o_socket_close(connection.socket);
+  connections_.remove_if([&](const std::unique_ptr<Connection>& held) {
+    return held.get() == &connection;
+  });
+}
+
+}  // namespace gorsevalve
--- /dev/null
+++ b/src/tasks/frame_network.h
@@ -0,0 +1,57 @@
+/// Messages over TCP between control replicas and balancers: sealed messages with a length before each.
+/// A process is known by the address that its messages name; replies go over the connection on which
+/// the peer was heard last, and replicas are dialled when there is none.
+#pragma once
+
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <tl/expected.hpp>
+
+#include "model/bytes.h"
+#include "model/endpoint.h"
+#include "tasks/event_loop.h"
+
+namespace gorsevalve {
+
+class FrameNetwork {
+ public:
+  /// Handles one frame and gives the sender that it names, or nothing when it was not authentic; such
+  /// a connection is closed.
+  using Receiver = std::function<std::optional<Endpoint>(ByteView frame)>;
+
+  FrameNetwork(EventLoop& loop, Receiver receiver);
+  ~FrameNetwork();
+  FrameNetwork(const FrameNetwork&) = delete;
+  FrameNetwork& operator=(const FrameNetwork&) = delete;
+
+  /// Accepts connections at an address. The error names the address.
+  tl::expected<void, std::string> listen(const Endpoint& address);
+
+  /// Sends a frame. Without a connection one is dialled when `dial` is set, else the frame is dropped.
+  /// A frame is dropped too when too much waits on the connection.
+  void send(const Endpoint& to, Bytes frame, bool dial);
+
+ private:
+  struct Connection;
+
+  void on_accept();
+  void dial(const Endpoint& to);
+  Connection* adopt(h2o_socket_t* socket);
+  void on_connected(Connection& connection, const char* error);
+  void on_read(Connection& connection, const char* error);
+  void write_next(Connection& connection);
+  void close(Connection& connection);
+  [[nodiscard]] bool take_frames(Connection& connection);
+
+  EventLoop& loop_;
+  Receiver receiver_;
+  h2o_socket_t* listener_ = nullptr;
+  std::list<std::unique_ptr<Connection>> connections_;
+  std::map<Endpoint, Connection*> by_peer_;
+};
+
+}  // namespace gorsevalve
--- /dev/null
+++ b/src/tasks/http_server.cc
@@ -0,0 +1,140 @@
+#include "tasks/http_server.h"
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstring>
+
+#include "tasks/socket_address.h"
+
+namespace gorsevalve {
+namespace {
+
+std::string to_string(const h2o_iovec_t& text) { return {text.base, text.len}; }
+
+/// Lives in the request's memory pool: tells the server when the request is gone.
+struct Ticket {
+  std::map<HttpServer::RequestNumber, h2o_req_t*>* waiting;
+  HttpServer::RequestNumber number;
+};
+
+void on_ticket_disposed(void* raw) {
+  auto* ticket = static_cast<Ticket*>(raw);
+  ticket->waiting->erase(ticket->number);
+}
+
+}  // namespace
+
+struct HttpServer::Internals {
+  /// h2o's handler with a way back to the server.
+  struct Handler {
+    h2o_handler_t base;
+    HttpServer* server;
+  };
+  h2o_globalconf_t config{};
+  h2o_context_t context{};
+  h2o_accept_ctx_t accept{};
+  h2o_socket_t* listener = nullptr;
+};
+
+HttpServer::HttpServer(EventLoop& loop, Handler handler)
+    : loop_(loop), handler_(std::move(handler)), internals_(std::make_unique<Internals>()) {}
+
+tl::expected<std::unique_ptr<HttpServer>, std::string> HttpServer::open(EventLoop& loop,
+                                                                        const Endpoint& address,
+                                                                        Handler handler) {
+  const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  const int on = 1;
+  ::setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  const sockaddr_in raw = to_sockaddr(address);
+  const bool bound =
+      ::bind(descriptor, reinterpret_cast<const sockaddr*>(&raw), sizeof(raw)) == 0 &&
+      ::listen(descriptor, SOMAXCONN) == 0;
+  if (!bound) {
+    const std::string message =
+        "listen " + gorsevalve::to_string(address) + ": " + std::strerror(errno);
+    ::close(descriptor);
+    return tl::unexpected(message);
+  }
+  std::unique_ptr<HttpServer> server(new HttpServer(loop, std::move(handler)));
+  Internals& internals = *server->internals_;
+  h2o_config_init(&internals.config);
+  internals.config.max_request_entity_size = kMaxBody;
+  h2o_hostconf_t* host =
+      h2o_config_register_host(&internals.config, h2o_iovec_init(H2O_STRLIT("default")), 65535);
+  h2o_pathconf_t* path = h2o_config_register_path(host, "/", 0);
+  auto* handler_slot = reinterpret_cast<Internals::Handler*>(
+      h2o_create_handler(path, sizeof(Internals::Handler)));
+  handler_slot->server = server.get();
+  handler_slot->base.on_req = [](h2o_handler_t* self, h2o_req_t* request) {
+    return reinterpret_cast<Internals::Handler*>(self)->server->on_request(request);
+  };
+  h2o_context_init(&internals.context, loop.raw(), &internals.config);
+  internals.accept.ctx = &internals.context;
+  internals.accept.hosts = internals.config.hosts;
+  internals.listener =
+      h2o_evloop_socket_create(loop.raw(), descriptor, H2O_SOCKET_FLAG_DONT_READ);
+  internals.listener->data = server.get();
+  h2o_socket_read_start(internals.listener, [](h2o_socket_t* socket, const char* /*error*/) {
+    static_cast<HttpServer*>(socket->data)->on_accept();
+  });
+  return server;
+}
+
+HttpServer::~HttpServer() {
+  if (internals_->listener != nullptr) {
+    h2o_socket_close(internals_->listener);
+  }
+  // Connections end with the process: h2o's context cannot be disposed while they exist.
+}
+
+void HttpServer::on_accept() {
+  while (h2o_socket_t* socket = h2o_evloop_socket_accept(internals_->listener)) {
+    h2o_accept(&internals_->accept, socket);
+  }
+}
+
+int HttpServer::on_request(h2o_req_t* request) {
+  HttpRequest copy;
+  copy.method = to_string(request->method);
+  copy.path = to_string(request->path_normalized);
+  if (request->query_at != SIZE_MAX) {
+    copy.query = to_string(request->path).substr(request->query_at + 1);
+  }
+  copy.body = to_string(request->entity);
+  const ssize_t header =
+      h2o_find_header(&request->headers, H2O_TOKEN_AUTHORIZATION, -1);
+  if (header != -1) {
+    copy.authorization = to_string(request->headers.entries[header].value);
+  }
+  const RequestNumber number = ++last_number_;
+  auto* ticket = static_cast<Ticket*>(
+      h2o_mem_alloc_shared(&request->pool, sizeof(Ticket), &on_ticket_disposed));
+  *ticket = {&waiting_, number};
+  waiting_[number] = request;
+  handler_(number, copy);
+  return 0;
+}
+
+void HttpServer::respond(RequestNumber number, const HttpResponse& response) {
+  const auto found = waiting_.find(number);
+  if (found == waiting_.end()) {
+    return;
+  }
+  h2o_req_t* request = found->second;
+  waiting_.erase(found);
+  static h2o_generator_t generator = {nullptr, nullptr};
+  request->res.status = response.status;
+  request->res.reason = response.status < 400 ? "OK" : "Error";
+  h2o_iovec_t type =
+      h2o_strdup(&request->pool, response.content_type.data(), response.content_type.size());
+  h2o_add_header(&request->pool, &request->res.headers, H2O_TOKEN_CONTENT_TYPE, nullptr, type.base,
+                 type.len);
+  h2o_iovec_t body = h2o_strdup(&request->pool, response.body.data(), response.body.size());
+  request->res.content_length = body.len;
+  h2o_start_response(request, &generator);
+  h2o_send(request, &body, 1, H2O_SEND_STATE_FINAL);
+}
+
+}  // namespace gorsevalve
--- /dev/null
+++ b/src/tasks/http_server.h
@@ -0,0 +1,66 @@
+/// HTTP/1 and HTTP/2 server on an event loop, with answers that may come later.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <tl/expected.hpp>
+
+#include "model/endpoint.h"
+#include "tasks/event_loop.h"
+
+namespace gorsevalve {
+
+struct HttpRequest {
+  std::string method;
+  /// Path without the query.
+  std::string path;
+  std::string query;
+  std::string body;
+  /// Value of the Authorization header, or "".
+  std::string authorization;
+};
+
+struct HttpResponse {
+  int status = 200;
+  std::string content_type = "application/json";
+  std::string body;
+};
+
+class HttpServer {
+ public:
+  /// Names a request that waits for its answer.
+  using RequestNumber = std::uint64_t;
+  using Handler = std::function<void(RequestNumber, const HttpRequest&)>;
+
+  /// Largest request body, in octets.
+  static constexpr std::size_t kMaxBody = 5U << 20U;
+
+  /// Listens at an address. The error names the address.
+  static tl::expected<std::unique_ptr<HttpServer>, std::string> open(EventLoop& loop,
+                                                                     const Endpoint& address,
+                                                                     Handler handler);
+  ~HttpServer();
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+
+  /// Answers a request. To be called once for each, on the loop's thread; does nothing when the
+  /// client has gone.
+  void respond(RequestNumber number, const HttpResponse& response);
+
+ private:
+  struct Internals;
+  HttpServer(EventLoop& loop, Handler handler);
+  void on_accept();
+  int on_request(h2o_req_t* request);
+
+  EventLoop& loop_;
+  Handler handler_;
+  std::unique_ptr<Internals> internals_;
+  RequestNumber last_number_ = 0;
+  std::map<RequestNumber, h2o_req_t*> waiting_;
+};
+
+}  // namespace gorsevalve
--- /dev/null
+++ b/src/tasks/metrics.h
@@ -0,0 +1,26 @@
+/// Metrics in the Prometheus text format, through prometheus-cpp.
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/balancer/balancer_state.h"
+
+namespace gorsevalve {
+
+/// One value to export.
+struct MetricSample {
+  std::string name;
+  std::string help;
+  double value = 0;
+  bool is_counter = true;
+};
+
+/// The counters of a balancer as samples.
+std::vector<MetricSample> to_samples(const BalancerCounters& counters);
+
+/// Renders samples as Prometheus text.
+std::string render_metrics(const std::vector<MetricSample>& samples);
+
+}  // namespace gorsevalve
--- /dev/null
+++ b/src/tasks/target_poller.h
@@ -0,0 +1,35 @@
+/// Polls the health and load endpoints of targets and gives the results to a balancer.
+#pragma once
+
+#include <functional>
+#include <vector>
+
+#include "core/balancer/target_board.h"
+#include "tasks/event_loop.h"
+#include "tasks/http_client.h"
+
+namespace gorsevalve {
+
+/// Reads the body of a health endpoint: {"healthy": bool, "connections": n, "running": n}. Nothing
+/// when it is not of this form.
+std::optional<TargetReport> parse_target_report(const Endpoint& target, const std::string& body);
+
+class TargetPoller {
+ public:
+  using Sink = std::function<void(const TargetReport&)>;
+
+  /// Calls `sink` on the loop's thread for each poll.
+  TargetPoller(EventLoop& loop, Sink sink);
+
+  /// Polls each target once.
+  void poll(const std::vector<Target>& targets);
+
+  static constexpr Duration kInterval = std::chrono::milliseconds(500);
+  static constexpr Duration kTimeout = std::chrono::milliseconds(400);
+
+ private:
+  HttpClient client_;
+  Sink sink_;
+};
+
+}  // namespace gorsevalve
--- /dev/null
+++ b/src/tasks/udp_socket.cc
@@ -0,0 +1,139 @@
+#include "tasks/udp_socket.h"
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+
+#include "tasks/socket_address.h"
+
+namespace gorsevalve {
+namespace {
+
+constexpr int kSocketBuffer = 4 << 20;
+/// Batches read in one turn before other events get theirs.
+constexpr int kBatchesPerTurn = 8;
+
+}  // namespace
+
+struct UdpSocket::Buffers {
+  std::array<std::array<std::uint8_t, kMaxDatagram>, kBatch> in{};
+  std::array<iovec, kBatch> in_parts{};
+  std::array<sockaddr_in, kBatch> in_addresses{};
+  std::array<mmsghdr, kBatch> in_headers{};
+
+  std::array<std::array<std::uint8_t, kMaxDatagram>, kBatch> out{};
+  std::array<iovec, kBatch> out_parts{};
+  std::array<sockaddr_in, kBatch> out_addresses{};
+  std::array<mmsghdr, kBatch> out_headers{};
+  std::size_t out_count = 0;
+};
+
+tl::expected<std::unique_ptr<UdpSocket>, std::string> UdpSocket::open(EventLoop& loop,
+                                                                      const Endpoint& address) {
+  const int descriptor = ::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (descriptor < 0) {
+    return tl::unexpected(std::string("socket: ") + std::strerror(errno));
+  }
+  ::setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &kSocketBuffer, sizeof(kSocketBuffer));
+  ::setsockopt(descriptor, SOL_SOCKET, SO_SNDBUF, &kSocketBuffer, sizeof(kSocketBuffer));
+  const sockaddr_in raw = to_sockaddr(address);
+  if (::bind(descriptor, reinterpret_cast<const sockaddr*>(&raw), sizeof(raw)) != 0) {
+    const std::string message = "bind " + to_string(address) + ": " + std::strerror(errno);
+    ::close(descriptor);
+    return tl::unexpected(message);
+  }
+  return std::unique_ptr<UdpSocket>(new UdpSocket(loop, descriptor));
+}
+
+UdpSocket::UdpSocket(EventLoop& loop, int descriptor)
+    : descriptor_(descriptor),
+      socket_(h2o_evloop_socket_create(loop.raw(), descriptor, H2O_SOCKET_FLAG_DONT_READ)),
+      buffers_(std::make_unique<Buffers>()) {
+  socket_->data = this;
+}
+
+UdpSocket::~UdpSocket() {
+  h2o_socket_read_stop(socket_);
+  h2o_socket_close(socket_);
+}
+
+void UdpSocket::start(Receiver receiver, std::function<void()> after_batch) {
+  receiver_ = std::move(receiver);
+  after_batch_ = std::move(after_batch);
+  h2o_socket_read_start(socket_, [](h2o_socket_t* socket, const char* /*error*/) {
+    static_cast<UdpSocket*>(socket->data)->on_readable();
+  });
+}
+
+void UdpSocket::on_readable() {
+  Buffers& buffers = *buffers_;
+  for (int turn = 0; turn < kBatchesPerTurn; ++turn) {
+    for (std::size_t i = 0; i < kBatch; ++i) {
+      buffers.in_parts[i] = {buffers.in[i].data(), kMaxDatagram};
+      buffers.in_headers[i] = {};
+      buffers.in_headers[i].msg_hdr.msg_iov = &buffers.in_parts[i];
+      buffers.in_headers[i].msg_hdr.msg_iovlen = 1;
+      buffers.in_headers[i].msg_hdr.msg_name = &buffers.in_addresses[i];
+      buffers.in_headers[i].msg_hdr.msg_namelen = sizeof(sockaddr_in);
+    }
+    const int count = ::recvmmsg(descriptor_, buffers.in_headers.data(), kBatch, 0, nullptr);
+    for (int i = 0; i < count; ++i) {
+      const auto index = static_cast<std::size_t>(i);
+      const bool cut = (buffers.in_headers[index].msg_hdr.msg_flags & MSG_TRUNC) != 0;
+      if (!cut) {
+        receiver_(ByteView(buffers.in[index].data(), buffers.in_headers[index].msg_len),
+                  from_sockaddr(buffers.in_addresses[index]));
+      }
+    }
+    if (count < static_cast<int>(kBatch)) {
+      break;
+    }
+  }
+  if (after_batch_) {
+    after_batch_();
+  }
+  flush();
+}
+
+void UdpSocket::send(const Endpoint& to, ByteView head, ByteView body) {
+  Buffers& buffers = *buffers_;
+  if (head.size() + body.size() > kMaxDatagram) {
+    return;
+  }
+  if (buffers.out_count == kBatch) {
+    flush();
+  }
+  const std::size_t i = buffers.out_count++;
+  std::copy(head.begin(), head.end(), buffers.out[i].begin());
+  std::copy(body.begin(), body.end(),
+            buffers.out[i].begin() + static_cast<std::ptrdiff_t>(head.size()));
+  buffers.out_parts[i] = {buffers.out[i].data(), head.size() + body.size()};
+  buffers.out_addresses[i] = to_sockaddr(to);
+  buffers.out_headers[i] = {};
+  buffers.out_headers[i].msg_hdr.msg_iov = &buffers.out_parts[i];
+  buffers.out_headers[i].msg_hdr.msg_iovlen = 1;
+  buffers.out_headers[i].msg_hdr.msg_name = &buffers.out_addresses[i];
+  buffers.out_headers[i].msg_hdr.msg_namelen = sizeof(sockaddr_in);
+}
+
+void UdpSocket::flush() {
+  Buffers& buffers = *buffers_;
+  std::size_t sent = 0;
+  while (sent < buffers.out_count) {
+    const int count = ::sendmmsg(descriptor_, &buffers.out_headers[sent],
+                                 static_cast<unsigned>(buffers.out_count - sent), 0);
+    if (count > 0) {
+      sent += static_cast<std::size_t>(count);
+    } else if (errno != EINTR) {
+      // The first datagram was refused (no listener, no room): drop it and go on.
+      ++sent;
+    }
+  }
+  buffers.out_count = 0;
+}
+
+}  // namespace gorsevalve
