--- /dev/null
+++ b/Makefile
@@ -0,0 +1,42 @@
+# Two commands do all of their own set-up on a fresh Debian 12 machine: make demo, make test.
+PRESET ?= release
+BUILD := build/$(PRESET)
+SEEDS ?= 1000
+
+.PHONY: all packages build demo test lint format unit soak bench clean
+
+all: build
+
+packages:
+	@scripts/install_packages.sh
+
+$(BUILD)/build.ninja: CMakeLists.txt CMakePresets.json | packages
+	cmake --preset $(PRESET) > /dev/null
+
+build: $(BUILD)/build.ninja
+	cmake --build --preset $(PRESET)
+
+demo: build
+	python3 scripts/demo.py --build $(BUILD)
+
+test: build lint
+	ctest --test-dir $(BUILD) --output-on-failure -j 4
+
+unit: build
+	ctest --test-dir $(BUILD) --output-on-failure -j 4 -L unit
+
+lint: $(BUILD)/build.ninja
+	@scripts/lint.sh $(BUILD)
+
+format:
+	git ls-files '*.cc' '*.h' | xargs clang-format -i
+
+# All simulator scenarios over many seeds; not part of CI.
+soak: build
+	$(BUILD)/gorsevalve-sim run --scenario=all --first_seed=1 --seeds=$(SEEDS)
+
+bench: build
+	$(BUILD)/gorsevalve-bench
+
+clean:
+	rm -rf build run
--- /dev/null
+++ b/scripts/lint.sh
@@ -0,0 +1,18 @@
+#!/bin/sh
+# clang-format over all files, clang-tidy over all sources of the build. Fails on any finding.
+# A source that was found clean is not checked again until it, a header, or the checks change.
+set -eu
+cd "$(dirname "$0")/.."
+build=$1
+git ls-files '*.cc' '*.h' | xargs clang-format --dry-run --Werror
+stamps="$build/tidy"
+mkdir -p "$stamps"
+common=$(git ls-files '*.h' .clang-tidy CMakeLists.txt | xargs cat | sha256sum | cut -c1-16)
+git ls-files '*.cc' | while read -r source; do
+  stamp="$stamps/$(cat "$source" | sha256sum | cut -c1-16)-$common"
+  [ -e "$stamp" ] || echo "$source $stamp"
+done > "$stamps/todo"
+# shellcheck disable=SC2016
+xargs -r -P "$(nproc)" -L 1 sh -c \
+  'clang-tidy --quiet -p "$0" "$1" 2>/dev/null && touch "$2"' "$build" < "$stamps/todo"
+echo "lint: clean"
--- a/src/codec/archive.h
+++ b/src/codec/archive.h
@@ -1,15 +1,15 @@
 /// Archives for Boost.Serialization in a compact, portable form: one value to bytes and back.
 ///
 /// Boost's own binary archives depend on the machine's integer sizes and trust every length that
-/// they read: a flipped bit makes them fill gigabytes before they fail. These archives follow the same
-/// Archive concept (Boost.Serialization, "Archive Concepts"), so the model types' serialize functions
-/// serve unchanged, but integers are LEB128 of any size and each length is checked against the
-/// octets that are left.
+/// they read: a flipped bit makes them fill gigabytes before they fail. These archives follow the
+/// same Archive concept (Boost.Serialization, "Archive Concepts"), so the model types' serialize
+/// functions serve unchanged, but integers are LEB128 of any size and each length is checked
+/// against the octets that are left.
 #pragma once
 
+#include <bit>
 #include <boost/mpl/bool.hpp>
 #include <boost/serialization/serialization.hpp>
-#include <bit>
 #include <cstring>
 #include <limits>
 #include <optional>
--- a/src/codec/coap.cc
+++ b/src/codec/coap.cc
@@ -247,8 +247,8 @@
 
 void set_coap_type(std::span<std::uint8_t> message, CoapType type) {
   constexpr std::uint8_t kTypeMask = 0x30;
-  message[0] = static_cast<std::uint8_t>((message[0] & ~kTypeMask) |
-                                         (static_cast<unsigned>(type) << 4U));
+  message[0] =
+      static_cast<std::uint8_t>((message[0] & ~kTypeMask) | (static_cast<unsigned>(type) << 4U));
 }
 
 std::size_t set_coap_observe(std::span<std::uint8_t> buffer, std::size_t size,
@@ -274,9 +274,9 @@
     if (new_size > buffer.size()) {
       return 0;
     }
-    const std::array<std::uint8_t, kValueSize> octets = {
-        static_cast<std::uint8_t>(value >> 16U), static_cast<std::uint8_t>(value >> 8U),
-        static_cast<std::uint8_t>(value)};
+    const std::array<std::uint8_t, kValueSize> octets = {static_cast<std::uint8_t>(value >> 16U),
+                                                         static_cast<std::uint8_t>(value >> 8U),
+                                                         static_cast<std::uint8_t>(value)};
     std::memmove(&buffer[position + new_length], &buffer[position + length],
                  size - position - length);
     coap_opt_encode(&buffer[position], new_length, option.delta, octets.data(), octets.size());
--- a/src/codec/coap.h
+++ b/src/codec/coap.h
@@ -1,6 +1,6 @@
-/// CoAP messages (RFC 7252, with Observe of RFC 7641 and Block-wise of RFC 7959) as the balancer and
-/// the stand-ins see them. Parsing and option encoding are libcoap's; the fixed four-octet header,
-/// for which libcoap exports no encoder, is written here.
+/// CoAP messages (RFC 7252, with Observe of RFC 7641 and Block-wise of RFC 7959) as the balancer
+/// and the stand-ins see them. Parsing and option encoding are libcoap's; the fixed four-octet
+/// header, for which libcoap exports no encoder, is written here.
 #pragma once
 
 #include <array>
@@ -54,9 +54,9 @@
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
     for (auto& octet : octets) {
-      archive & octet;
+      archive& octet;
     }
-    archive & length;
+    archive& length;
   }
 };
 
@@ -111,7 +111,8 @@
   CoapParser(const CoapParser&) = delete;
   CoapParser& operator=(const CoapParser&) = delete;
 
-  /// Returns nothing when the message is malformed, larger than kMaxCoapSize, or of a reserved class.
+  /// Returns nothing when the message is malformed, larger than kMaxCoapSize, or of a reserved
+  /// class.
   std::optional<CoapSummary> parse(ByteView message);
 
   /// Payload of the last message that was parsed. Valid until the next call of parse.
@@ -151,11 +152,10 @@
 /// Overwrites the message type in place. The message must hold at least one octet.
 void set_coap_type(std::span<std::uint8_t> message, CoapType type);
 
-/// Overwrites the value of the Observe option in place with a three-octet value. Returns the new size
-/// of the message, which may be up to three octets larger; 0 when `size` octets hold no Observe
-/// option or `buffer` has no room.
-std::size_t set_coap_observe(std::span<std::uint8_t> buffer, std::size_t size,
-                             std::uint32_t value);
+/// Overwrites the value of the Observe option in place with a three-octet value. Returns the new
+/// size of the message, which may be up to three octets larger; 0 when `size` octets hold no
+/// Observe option or `buffer` has no room.
+std::size_t set_coap_observe(std::span<std::uint8_t> buffer, std::size_t size, std::uint32_t value);
 
 /// The answer that tells a caller of a verdict: 5.03 with Max-Age for "not run", 5.04 with Max-Age
 /// for "may have run"; piggybacked when the request was confirmable.
--- a/src/codec/envelope.h
+++ b/src/codec/envelope.h
@@ -1,10 +1,11 @@
-/// Envelope of every message between the system's own processes: who sent it, to which cluster, and an
-/// authentication code.
+/// Envelope of every message between the system's own processes: who sent it, to which cluster, and
+/// an authentication code.
 ///
 ///   magic "GVM" | version (1) | kind (1) | type (1) | sender address (4) and port (2) |
 ///   sender incarnation (8) | sequence (8) | cluster (8) | body | code (16)
 ///
-/// Integers are big endian. The code is HMAC-SHA-256 (RFC 2104), cut to 128 bits, over all before it.
+/// Integers are big endian. The code is HMAC-SHA-256 (RFC 2104), cut to 128 bits, over all before
+/// it.
 #pragma once
 
 #include <absl/container/flat_hash_map.h>
--- a/src/core/balancer/answer_path.cc
+++ b/src/core/balancer/answer_path.cc
@@ -39,8 +39,7 @@
 }
 
 void AnswerPath::on_unmatched(Partition& partition, const TargetMessage& answer, Instant now) {
-  const bool own_id =
-      answer.header.request_id->incarnation == state_.config().self.incarnation;
+  const bool own_id = answer.header.request_id->incarnation == state_.config().self.incarnation;
   const bool newer_request =
       partition.store.find_token(answer.header.flow, answer.summary.token) != nullptr;
   const ServiceView* service = state_.view()->service(answer.header.flow.service);
--- a/src/core/balancer/answer_path.h
+++ b/src/core/balancer/answer_path.h
@@ -1,5 +1,5 @@
-/// What happens to messages from targets: matching to the request, feed order, retries, and what the
-/// caller gets.
+/// What happens to messages from targets: matching to the request, feed order, retries, and what
+/// the caller gets.
 #pragma once
 
 #include "core/balancer/request_actions.h"
--- a/src/core/balancer/balancer.cc
+++ b/src/core/balancer/balancer.cc
@@ -283,10 +283,10 @@
     return;
   }
   const ServiceView* service = state_.view()->service(record->flow.service);
-  const auto timeout = service == nullptr
-                           ? Duration::zero()
-                           : Duration(std::chrono::milliseconds(
-                                 service->service->request_timeout_ms));
+  const auto timeout =
+      service == nullptr
+          ? Duration::zero()
+          : Duration(std::chrono::milliseconds(service->service->request_timeout_ms));
   state_.set_deadline(partition.id, *record, now + timeout);
   chain_.resume(partition, *record, ChainEntry::kAdmission, now);
 }
--- a/src/core/balancer/balancer.h
+++ b/src/core/balancer/balancer.h
@@ -1,5 +1,6 @@
 /// The balancer core: a state machine without sockets, clocks or threads. Every input carries the
-/// time; every effect goes to BalancerOutput. The same code runs in the program and in the simulator.
+/// time; every effect goes to BalancerOutput. The same code runs in the program and in the
+/// simulator.
 #pragma once
 
 #include "core/balancer/answer_path.h"
--- a/src/core/balancer/balancer_state.h
+++ b/src/core/balancer/balancer_state.h
@@ -109,9 +109,7 @@
     }
     return *slot;
   }
-  absl::flat_hash_map<PartitionId, std::unique_ptr<Partition>>& partitions() {
-    return partitions_;
-  }
+  absl::flat_hash_map<PartitionId, std::unique_ptr<Partition>>& partitions() { return partitions_; }
 
   RequestId next_request_id() { return {config_.self.incarnation, ++last_sequence_}; }
 
--- a/src/core/balancer/control_client.h
+++ b/src/core/balancer/control_client.h
@@ -1,5 +1,5 @@
-/// The balancer's side of its session with the control replicas: heartbeats, the lease, and the fleet
-/// state by deltas. A state machine without sockets.
+/// The balancer's side of its session with the control replicas: heartbeats, the lease, and the
+/// fleet state by deltas. A state machine without sockets.
 #pragma once
 
 #include <map>
--- a/src/core/balancer/fleet_view.cc
+++ b/src/core/balancer/fleet_view.cc
@@ -20,6 +20,7 @@
 
 std::vector<std::uint64_t> hash_paths(const std::vector<std::string>& paths) {
   std::vector<std::uint64_t> hashes;
+  hashes.reserve(paths.size());
   for (const auto& path : paths) {
     hashes.push_back(coap_path_hash(path));
   }
@@ -68,6 +69,7 @@
 std::vector<PartitionAssignment> assign_partitions(const std::vector<Member>& members,
                                                    std::uint32_t partitions) {
   std::vector<RendezvousCandidate> candidates;
+  candidates.reserve(members.size());
   for (const auto& member : members) {
     candidates.push_back({member_key(member), member.state == MemberState::kActive ? 1U : 0U});
   }
@@ -110,18 +112,15 @@
 
 const Target* FleetView::target(const ServiceView& service, const Endpoint& address) const {
   const auto& targets = service.service->targets;
-  const auto found = std::find_if(targets.begin(), targets.end(), [&](const Target& target) {
-    return target.address == address;
-  });
+  const auto found = std::find_if(targets.begin(), targets.end(),
+                                  [&](const Target& target) { return target.address == address; });
   return found == targets.end() ? nullptr : &*found;
 }
 
 PartitionId FleetView::partition_of(const FlowKey& flow, const ServiceView& service) const {
-  const std::uint32_t spread =
-      std::clamp(service.service->owner_spread, 1U, state_.partitions);
+  const std::uint32_t spread = std::clamp(service.service->owner_spread, 1U, state_.partitions);
   const std::array<std::uint64_t, 2> words = {packed(flow.service), flow_hash(flow) % spread};
-  return static_cast<PartitionId>(XXH3_64bits(words.data(), sizeof(words)) %
-                                  state_.partitions);
+  return static_cast<PartitionId>(XXH3_64bits(words.data(), sizeof(words)) % state_.partitions);
 }
 
 const Member* FleetView::owner(PartitionId partition) const {
--- a/src/core/balancer/fleet_view.h
+++ b/src/core/balancer/fleet_view.h
@@ -1,6 +1,6 @@
-/// Everything that a balancer derives from one revision of the fleet state: which balancer owns each
-/// partition, which one backs it up, and which target each slot of a service belongs to. Immutable;
-/// equal fleet states give equal views in every process.
+/// Everything that a balancer derives from one revision of the fleet state: which balancer owns
+/// each partition, which one backs it up, and which target each slot of a service belongs to.
+/// Immutable; equal fleet states give equal views in every process.
 #pragma once
 
 #include <absl/container/flat_hash_map.h>
--- a/src/core/balancer/flow_binding.cc
+++ b/src/core/balancer/flow_binding.cc
@@ -26,8 +26,7 @@
   FlowRecord* record = partition.store.find_flow(flow);
   if (record == nullptr) {
     FlowRecord fresh;
-    fresh.next_message_id =
-        initial_message_id(flow, state_.config().self.incarnation, now);
+    fresh.next_message_id = initial_message_id(flow, state_.config().self.incarnation, now);
     record = &partition.store.add_flow(flow, fresh);
   } else {
     --state_.board().at(record->target).flows;
--- a/src/core/balancer/handover.cc
+++ b/src/core/balancer/handover.cc
@@ -8,7 +8,8 @@
 namespace gorsevalve {
 namespace {
 
-/// Datagrams that wait for one partition's state; more are dropped and come again by retransmission.
+/// Datagrams that wait for one partition's state; more are dropped and come again by
+/// retransmission.
 constexpr std::size_t kMaxHeldDatagrams = 512;
 
 /// Cuts a batch into chunks near kBatchSize. There is always at least one.
@@ -33,8 +34,8 @@
   return chunks;
 }
 
-/// All state of a partition. Every flow is included, not only the exceptions: the new owner may know
-/// another revision of the slot table.
+/// All state of a partition. Every flow is included, not only the exceptions: the new owner may
+/// know another revision of the slot table.
 StateBatch whole_state(const PartitionStore& store) {
   StateBatch batch;
   for (const auto& [flow, record] : store.flows()) {
@@ -64,8 +65,9 @@
 }
 
 void Handover::cancel_if_source_keeps(Partition& partition) {
-  // Another membership change came before the state arrived. Normally the transfer goes on, since the
-  // next owner asks this process. But when the process that has the state owns it again, it keeps it.
+  // Another membership change came before the state arrived. Normally the transfer goes on, since
+  // the next owner asks this process. But when the process that has the state owns it again, it
+  // keeps it.
   if (partition.role != PartitionRole::kAcquiring || !partition.acquisition->has_source()) {
     return;
   }
@@ -138,8 +140,7 @@
   if (!was_backup || partition.copy == nullptr) {
     return false;
   }
-  partition.sealed_revision =
-      std::max(partition.sealed_revision, partition.acquisition->revision);
+  partition.sealed_revision = std::max(partition.sealed_revision, partition.acquisition->revision);
   const bool complete = partition.copy->complete;
   const std::unique_ptr<StateCopy> copy = std::move(partition.copy);
   partition.incomplete_until = std::max(partition.incomplete_until, copy->incomplete_until);
@@ -185,9 +186,8 @@
   }
   acquisition.last_heard = now;
   ++acquisition.next_chunk;
-  partition.incomplete_until =
-      std::max(partition.incomplete_until,
-               now + std::chrono::milliseconds(chunk.incomplete_for_ms));
+  partition.incomplete_until = std::max(partition.incomplete_until,
+                                        now + std::chrono::milliseconds(chunk.incomplete_for_ms));
   import(partition, chunk.state, now);
   if (!chunk.last) {
     ask_source(partition, now);
@@ -326,8 +326,7 @@
     if (partition->role == PartitionRole::kAcquiring) {
       acquiring.push_back(partition.get());
     }
-    if (partition->outgoing &&
-        now - partition->outgoing->last_asked > timing::kOutgoingLifetime) {
+    if (partition->outgoing && now - partition->outgoing->last_asked > timing::kOutgoingLifetime) {
       partition->outgoing.reset();
     }
   }
@@ -372,14 +371,13 @@
 }
 
 bool Handover::has_released_all(Instant now) const {
-  return std::all_of(state_.partitions().begin(), state_.partitions().end(),
-                     [&](const auto& entry) {
-                       const Partition& partition = *entry.second;
-                       const bool asked_lately =
-                           partition.outgoing && now - partition.outgoing->last_asked <
-                                                     timing::kTakeoverSourceTimeout;
-                       return partition.role == PartitionRole::kNone && !asked_lately;
-                     });
+  return std::all_of(
+      state_.partitions().begin(), state_.partitions().end(), [&](const auto& entry) {
+        const Partition& partition = *entry.second;
+        const bool asked_lately = partition.outgoing && now - partition.outgoing->last_asked <
+                                                            timing::kTakeoverSourceTimeout;
+        return partition.role == PartitionRole::kNone && !asked_lately;
+      });
 }
 
 }  // namespace gorsevalve
--- a/src/core/balancer/output.h
+++ b/src/core/balancer/output.h
@@ -1,5 +1,5 @@
-/// What the balancer core asks its surroundings to send. The real program implements it with sockets,
-/// the simulator with its network.
+/// What the balancer core asks its surroundings to send. The real program implements it with
+/// sockets, the simulator with its network.
 #pragma once
 
 #include "codec/proxy_header.h"
--- a/src/core/balancer/partition.h
+++ b/src/core/balancer/partition.h
@@ -1,5 +1,5 @@
-/// One ownership partition as a balancer sees it: its role, its state as owner, the copy it holds as
-/// backup, and the transfers under way.
+/// One ownership partition as a balancer sees it: its role, its state as owner, the copy it holds
+/// as backup, and the transfers under way.
 #pragma once
 
 #include <absl/container/flat_hash_map.h>
@@ -70,9 +70,7 @@
   absl::flat_hash_set<RequestId> requests;
   std::vector<RequestId> forgotten;
 
-  [[nodiscard]] bool empty() const {
-    return pins.empty() && requests.empty() && forgotten.empty();
-  }
+  [[nodiscard]] bool empty() const { return pins.empty() && requests.empty() && forgotten.empty(); }
 };
 
 /// A batch on its way to the backup.
--- a/src/core/balancer/peer_messages.h
+++ b/src/core/balancer/peer_messages.h
@@ -26,7 +26,7 @@
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive & members_revision & partition & batch & ends_copy & incomplete_for_ms & changes;
+    archive& members_revision& partition& batch& ends_copy& incomplete_for_ms& changes;
   }
 };
 
@@ -40,7 +40,7 @@
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive & members_revision & partition & batch & accepted;
+    archive& members_revision& partition& batch& accepted;
   }
 };
 
@@ -54,7 +54,7 @@
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive & members_revision & partition & chunk;
+    archive& members_revision& partition& chunk;
   }
 };
 
@@ -83,13 +83,11 @@
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive & members_revision & partition & chunk & last & holding & incomplete_for_ms &
-        state;
+    archive& members_revision& partition& chunk& last& holding& incomplete_for_ms& state;
   }
 };
 
 /// Any message between balancers. The index in the variant is the type number on the wire.
-using PeerMessage =
-    std::variant<ReplicateRequest, ReplicateReply, TakeoverRequest, TakeoverChunk>;
+using PeerMessage = std::variant<ReplicateRequest, ReplicateReply, TakeoverRequest, TakeoverChunk>;
 
 }  // namespace gorsevalve
--- a/src/core/balancer/records.h
+++ b/src/core/balancer/records.h
@@ -1,5 +1,5 @@
-/// State that a balancer keeps for the flows and requests of the partitions that it owns, and that it
-/// copies to the backup and to the next owner.
+/// State that a balancer keeps for the flows and requests of the partitions that it owns, and that
+/// it copies to the backup and to the next owner.
 #pragma once
 
 #include <cstdint>
@@ -63,7 +63,7 @@
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive & last_in & last_out & offset & moved & message_id_out & message_id_in;
+    archive& last_in& last_out& offset& moved& message_id_out& message_id_in;
   }
 };
 
@@ -102,8 +102,8 @@
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive & flow & id & token & message_id & type & kind & state & execution & retry_after_s &
-        version & continuation & target & feed & request & answer;
+    archive& flow& id& token& message_id& type& kind& state& execution& retry_after_s& version&
+        continuation& target& feed& request& answer;
   }
 };
 
@@ -115,7 +115,7 @@
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive & flow & target & next_message_id;
+    archive& flow& target& next_message_id;
   }
 };
 
@@ -126,13 +126,11 @@
   /// Requests that are no longer needed.
   std::vector<RequestId> forgotten;
 
-  [[nodiscard]] bool empty() const {
-    return pins.empty() && requests.empty() && forgotten.empty();
-  }
+  [[nodiscard]] bool empty() const { return pins.empty() && requests.empty() && forgotten.empty(); }
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive & pins & requests & forgotten;
+    archive& pins& requests& forgotten;
   }
 };
 
--- a/src/core/balancer/replication.cc
+++ b/src/core/balancer/replication.cc
@@ -171,8 +171,7 @@
   }
 }
 
-void BackupStore::on_request(const Endpoint& from, const ReplicateRequest& request,
-                               Instant now) {
+void BackupStore::on_request(const Endpoint& from, const ReplicateRequest& request, Instant now) {
   Partition& partition = state_.partition(request.partition);
   ReplicateReply reply{request.members_revision, request.partition, request.batch, false};
   const bool sealed =
--- a/src/core/balancer/replication.h
+++ b/src/core/balancer/replication.h
@@ -75,8 +75,8 @@
   BalancerState& state_;
 };
 
-/// The form in which a record is copied to the backup. A record there may lag behind the owner's, so
-/// it never claims that nothing was sent; the request's own bytes go along for feeds only.
+/// The form in which a record is copied to the backup. A record there may lag behind the owner's,
+/// so it never claims that nothing was sent; the request's own bytes go along for feeds only.
 RequestRecord backup_form(const RequestRecord& record);
 
 /// Time left until an instant, in milliseconds; 0 when it has passed.
--- a/src/core/balancer/request_filters.cc
+++ b/src/core/balancer/request_filters.cc
@@ -29,8 +29,7 @@
   if (contains(service.once_only_paths, summary.path_hash)) {
     return RequestKind::kOnceOnly;
   }
-  const bool idempotent =
-      summary.code != coap_code::kPost && summary.code != coap_code::kPatch;
+  const bool idempotent = summary.code != coap_code::kPost && summary.code != coap_code::kPatch;
   if (!idempotent && !contains(service.repeatable_paths, summary.path_hash)) {
     return RequestKind::kOnceOnly;
   }
@@ -84,8 +83,8 @@
     return FilterStatus::kContinue;
   }
   RequestRecord* feed = context.partition.store.find_token(context.flow, context.token);
-  const bool open = feed != nullptr && feed->kind == RequestKind::kFeed &&
-                    feed->state == RequestState::kAnswered;
+  const bool open =
+      feed != nullptr && feed->kind == RequestKind::kFeed && feed->state == RequestState::kAnswered;
   if (!open || state_.view()->target(context.service, feed->target) == nullptr) {
     return FilterStatus::kContinue;
   }
@@ -105,8 +104,8 @@
     return FilterStatus::kContinue;
   }
   const bool has_lease = context.now < state_.lease_until() || state_.faults().skip_lease_check;
-  const bool complete = context.now >= context.partition.incomplete_until ||
-                        state_.faults().skip_incomplete_check;
+  const bool complete =
+      context.now >= context.partition.incomplete_until || state_.faults().skip_incomplete_check;
   if (has_lease && complete) {
     return FilterStatus::kContinue;
   }
@@ -134,8 +133,7 @@
     context.target = flow->target;
     return FilterStatus::kContinue;
   }
-  const Target* target =
-      actions_.place(context.service, context.flow, context.now, std::nullopt);
+  const Target* target = actions_.place(context.service, context.flow, context.now, std::nullopt);
   if (target != nullptr) {
     binding.bind(context.partition, context.flow, target->address, context.now);
     context.target = target->address;
@@ -179,8 +177,8 @@
 }
 
 FilterStatus AdmissionFilter::on_request(RequestContext& context) {
-  const bool exists = context.target &&
-                      state_.view()->target(context.service, *context.target) != nullptr;
+  const bool exists =
+      context.target && state_.view()->target(context.service, *context.target) != nullptr;
   if (!exists) {
     RequestRecord& record = actions_.make_record(context, RequestState::kQueued);
     actions_.give_up(context.partition, record, Execution::kNotRun, GiveUpReason::kNoTarget,
@@ -199,8 +197,7 @@
                      context.now);
     return FilterStatus::kStop;
   }
-  target.waiting[static_cast<std::size_t>(own_class)].push_back(
-      {context.partition.id, record.id});
+  target.waiting[static_cast<std::size_t>(own_class)].push_back({context.partition.id, record.id});
   return FilterStatus::kStop;
 }
 
--- a/src/core/balancer/request_filters.h
+++ b/src/core/balancer/request_filters.h
@@ -76,7 +76,8 @@
   FilterStatus on_request(RequestContext& context) override;
 
  private:
-  /// Frees a place in a full queue by refusing a request of a lower class; false when there is none.
+  /// Frees a place in a full queue by refusing a request of a lower class; false when there is
+  /// none.
   bool displace_lower(TargetState& target, WaitClass wait_class, Instant now);
   BalancerState& state_;
   RequestActions& actions_;
--- a/src/core/balancer/target_board.h
+++ b/src/core/balancer/target_board.h
@@ -1,13 +1,13 @@
-/// What one balancer knows of its targets: its own load on each, their reports, and how many requests
-/// it may have running at each (additive increase, multiplicative decrease).
-/// Source of the limit rule: Chiu and Jain, "Analysis of the increase and decrease algorithms for
-/// congestion avoidance" (1989).
+/// What one balancer knows of its targets: its own load on each, their reports, and how many
+/// requests it may have running at each (additive increase, multiplicative decrease). Source of the
+/// limit rule: Chiu and Jain, "Analysis of the increase and decrease algorithms for congestion
+/// avoidance" (1989).
 #pragma once
 
 #include <absl/container/flat_hash_map.h>
 
-#include <cstdint>
 #include <array>
+#include <cstdint>
 #include <deque>
 
 #include "core/balancer/fleet_view.h"
--- a/src/core/balancer/timing.h
+++ b/src/core/balancer/timing.h
@@ -29,8 +29,8 @@
 constexpr Duration kExchangeLifetime = seconds(247);
 /// Longest lease of a balancer (see core/control/timing.h, which asserts that it is kept).
 constexpr Duration kLease = seconds(10);
-/// After a takeover that may lack records, once-only requests are not run for this long: any copy of
-/// a request that the lost owner ran has been sent by then, and its lease has ended.
+/// After a takeover that may lack records, once-only requests are not run for this long: any copy
+/// of a request that the lost owner ran has been sent by then, and its lease has ended.
 constexpr Duration kIncompleteTakeover = seconds(60);
 static_assert(kIncompleteTakeover > kMaxTransmitSpan && kIncompleteTakeover > kLease);
 
--- a/src/core/control/control_node.cc
+++ b/src/core/control/control_node.cc
@@ -107,8 +107,8 @@
 void ControlNode::handle(const Endpoint& /*from*/, const HeartbeatReply& /*reply*/,
                          Instant /*now*/) {}
 
-void ControlNode::handle(const Endpoint& /*from*/, const FleetUpdate& /*update*/,
-                         Instant /*now*/) {}
+void ControlNode::handle(const Endpoint& /*from*/, const FleetUpdate& /*update*/, Instant /*now*/) {
+}
 
 void ControlNode::handle(const Endpoint& from, const ReplicaReport& report, Instant now) {
   if (!replica_->has_lease(now)) {
@@ -175,7 +175,7 @@
   push_updates(now);
 }
 
-SubmissionResult ControlNode::submit(SettingsCommand command, Instant now) {
+SubmissionResult ControlNode::submit(const SettingsCommand& command, Instant now) {
   const SubmissionId id = command.id;
   SubmissionResult known = outcome(id, now);
   if (known.status != ControlStatus::kPending) {
--- a/src/core/control/control_node.h
+++ b/src/core/control/control_node.h
@@ -61,7 +61,7 @@
   void on_tick(Instant now);
 
   /// Submits settings, or asks for the outcome of the same submission again.
-  SubmissionResult submit(SettingsCommand command, Instant now);
+  SubmissionResult submit(const SettingsCommand& command, Instant now);
 
   /// The outcome of a submission, if this replica has proof of leadership.
   [[nodiscard]] SubmissionResult outcome(const SubmissionId& id, Instant now) const;
--- a/src/core/control/control_state.cc
+++ b/src/core/control/control_state.cc
@@ -18,7 +18,7 @@
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive & fleet & settings_text & history & outcomes;
+    archive& fleet& settings_text& history& outcomes;
   }
 };
 
@@ -65,8 +65,7 @@
                      service.address) != delta.removed_services.end();
   };
   std::erase_if(services, replaced);
-  services.insert(services.end(), delta.upserted_services.begin(),
-                  delta.upserted_services.end());
+  services.insert(services.end(), delta.upserted_services.begin(), delta.upserted_services.end());
   sort_services(fleet.settings);
   fleet.settings.deployment = delta.deployment;
   fleet.settings_revision = delta.revision;
@@ -191,9 +190,8 @@
 }
 
 const FleetDelta* ControlState::delta_after(Revision revision) const {
-  const auto found = std::find_if(deltas_.begin(), deltas_.end(), [&](const FleetDelta& delta) {
-    return delta.base == revision;
-  });
+  const auto found = std::find_if(deltas_.begin(), deltas_.end(),
+                                  [&](const FleetDelta& delta) { return delta.base == revision; });
   return found == deltas_.end() ? nullptr : &*found;
 }
 
--- a/src/core/control/control_state.h
+++ b/src/core/control/control_state.h
@@ -30,7 +30,7 @@
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive & id & base_revision & author & submitted_at_s & text & settings;
+    archive& id& base_revision& author& submitted_at_s& text& settings;
   }
 };
 
@@ -43,7 +43,7 @@
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive & upserted & removed;
+    archive& upserted& removed;
   }
 };
 
@@ -60,7 +60,7 @@
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive & id & accepted & revision & winner;
+    archive& id& accepted& revision& winner;
   }
 };
 
@@ -75,7 +75,7 @@
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive & revision & submission & author & submitted_at_s & digest;
+    archive& revision& submission& author& submitted_at_s& digest;
   }
 };
 
@@ -93,8 +93,7 @@
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive & base & revision & has_settings & deployment & upserted_services &
-        removed_services & members;
+    archive& base& revision& has_settings& deployment& upserted_services& removed_services& members;
   }
 };
 
--- a/src/core/control/log_entry.h
+++ b/src/core/control/log_entry.h
@@ -15,8 +15,8 @@
 /// Position in the log, from 1.
 using LogIndex = std::uint64_t;
 
-/// Identity of a replica: drawn when its data folder is made, and lost with it. A replica whose disk
-/// was replaced is a different replica and has no vote of the old one.
+/// Identity of a replica: drawn when its data folder is made, and lost with it. A replica whose
+/// disk was replaced is a different replica and has no vote of the old one.
 using ReplicaId = std::uint64_t;
 
 enum class EntryType : std::uint8_t {
@@ -40,7 +40,7 @@
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive & term & index & type & payload;
+    archive& term& index& type& payload;
   }
 };
 
@@ -54,7 +54,7 @@
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive & id & address & voter;
+    archive& id& address& voter;
   }
 };
 
@@ -72,7 +72,7 @@
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive & replicas;
+    archive& replicas;
   }
 };
 
@@ -86,7 +86,7 @@
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive & term & voted_for;
+    archive& term& voted_for;
   }
 };
 
@@ -100,7 +100,7 @@
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive & index & term & replicas & state;
+    archive& index& term& replicas& state;
   }
 };
 
--- a/src/core/control/membership.cc
+++ b/src/core/control/membership.cc
@@ -8,9 +8,8 @@
 namespace {
 
 const Member* find_member(const FleetState& fleet, const Endpoint& address) {
-  const auto found =
-      std::find_if(fleet.members.begin(), fleet.members.end(),
-                   [&](const Member& member) { return member.address == address; });
+  const auto found = std::find_if(fleet.members.begin(), fleet.members.end(),
+                                  [&](const Member& member) { return member.address == address; });
   return found == fleet.members.end() ? nullptr : &*found;
 }
 
@@ -26,8 +25,8 @@
   planned_since_.reset();
 }
 
-void MembershipController::add_lost(const FleetState& fleet, const NodeRegistry& nodes,
-                                    Instant now, MembersCommand& change) const {
+void MembershipController::add_lost(const FleetState& fleet, const NodeRegistry& nodes, Instant now,
+                                    MembersCommand& change) const {
   if (now - elected_at_ < control_timing::kMemberTimeout) {
     return;
   }
@@ -35,8 +34,7 @@
     const NodeEntry* entry = nodes.find(member.address);
     const bool replaced =
         entry != nullptr && entry->status.member.incarnation != member.incarnation;
-    const bool silent =
-        entry == nullptr || now - entry->heard_at > control_timing::kMemberTimeout;
+    const bool silent = entry == nullptr || now - entry->heard_at > control_timing::kMemberTimeout;
     if (silent || replaced) {
       change.removed.push_back(member.address);
     }
@@ -53,8 +51,8 @@
     const Member& seen = entry.status.member;
     const Member* member = find_member(fleet, address);
     const bool joins = member == nullptr && seen.state == MemberState::kActive;
-    const bool leaves = member != nullptr && member->incarnation == seen.incarnation &&
-                        member->state != seen.state;
+    const bool leaves =
+        member != nullptr && member->incarnation == seen.incarnation && member->state != seen.state;
     if (joins || leaves) {
       change.upserted.push_back(seen);
       any = true;
@@ -81,8 +79,8 @@
   if (!change.removed.empty()) {
     return change;
   }
-  const bool settled = is_settled(fleet, nodes) ||
-                       now - watched_since_ > control_timing::kSettleTimeout;
+  const bool settled =
+      is_settled(fleet, nodes) || now - watched_since_ > control_timing::kSettleTimeout;
   if (!settled || !add_planned(fleet, nodes, now, change)) {
     planned_since_.reset();
     return std::nullopt;
--- a/src/core/control/membership.h
+++ b/src/core/control/membership.h
@@ -12,12 +12,13 @@
 
 class MembershipController {
  public:
-  /// Forgets what an earlier time as leader has seen. Nothing is removed before nodes had the time to
-  /// be heard.
+  /// Forgets what an earlier time as leader has seen. Nothing is removed before nodes had the time
+  /// to be heard.
   void on_elected(Instant now);
 
   /// The next membership change, or nothing. Lost members are removed at once; joins and planned
-  /// leaves wait until the change before them has settled, so that state is handed over step by step.
+  /// leaves wait until the change before them has settled, so that state is handed over step by
+  /// step.
   [[nodiscard]] std::optional<MembersCommand> next_change(const FleetState& fleet,
                                                           const NodeRegistry& nodes, Instant now);
 
@@ -25,7 +26,8 @@
   [[nodiscard]] static std::vector<Endpoint> may_stop(const FleetState& fleet,
                                                       const NodeRegistry& nodes);
 
-  /// True when every active member that is heard has finished the handovers of the present revision.
+  /// True when every active member that is heard has finished the handovers of the present
+  /// revision.
   [[nodiscard]] static bool is_settled(const FleetState& fleet, const NodeRegistry& nodes);
 
  private:
--- a/src/core/control/node_messages.h
+++ b/src/core/control/node_messages.h
@@ -23,7 +23,7 @@
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive & sequence & member & revision & digest & settled_revision;
+    archive& sequence& member& revision& digest& settled_revision;
   }
 };
 
@@ -36,7 +36,7 @@
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive & sequence & lease_ms & may_stop;
+    archive& sequence& lease_ms& may_stop;
   }
 };
 
@@ -50,7 +50,7 @@
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive & deltas & is_whole & whole & digest;
+    archive& deltas& is_whole& whole& digest;
   }
 };
 
@@ -64,7 +64,7 @@
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive & member & revision & settled_revision & age_ms;
+    archive& member& revision& settled_revision& age_ms;
   }
 };
 
@@ -77,7 +77,7 @@
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive & sequence & replica & nodes;
+    archive& sequence& replica& nodes;
   }
 };
 
@@ -89,7 +89,7 @@
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive & sequence & may_stop;
+    archive& sequence& may_stop;
   }
 };
 
--- a/src/core/control/replica.cc
+++ b/src/core/control/replica.cc
@@ -110,11 +110,10 @@
   const bool asks_pre_vote = vote_request != nullptr && vote_request->pre_vote;
   const bool answers_pre_vote =
       vote_reply != nullptr && vote_reply->pre_vote && vote_reply->granted;
-  // A vote request within the lease of a leader is not even looked at, so that a replica that was cut
-  // off cannot depose a leader that works.
-  const bool leader_lives = is_leader()
-                                ? has_lease(now)
-                                : now - leader_heard_at_ < control_timing::kElectionTimeout;
+  // A vote request within the lease of a leader is not even looked at, so that a replica that was
+  // cut off cannot depose a leader that works.
+  const bool leader_lives =
+      is_leader() ? has_lease(now) : now - leader_heard_at_ < control_timing::kElectionTimeout;
   if (vote_request != nullptr && leader_lives && !config_.faults.vote_while_leader_lives) {
     return false;
   }
@@ -147,8 +146,8 @@
 }
 
 void Replica::handle(const ReplicaMessage& message, const VoteRequest& request, Instant now) {
-  // The candidate counts votes by its own set, so a vote of a replica with a new disk, whose identity
-  // is in no set, counts nowhere.
+  // The candidate counts votes by its own set, so a vote of a replica with a new disk, whose
+  // identity is in no set, counts nowhere.
   const bool current = log_is_current(request) || config_.faults.vote_without_log_check;
   VoteReply reply{request.pre_vote, false};
   if (request.pre_vote) {
@@ -353,8 +352,7 @@
     const bool keeps_rest = term_at(snapshot.index) == snapshot.term;
     std::vector<LogEntry> rest;
     if (keeps_rest) {
-      rest.assign(entries_.begin() +
-                      static_cast<std::ptrdiff_t>(snapshot.index - snapshot_index()),
+      rest.assign(entries_.begin() + static_cast<std::ptrdiff_t>(snapshot.index - snapshot_index()),
                   entries_.end());
     }
     failed_ = !storage_.replace_with_snapshot(snapshot, {hard_state_, std::nullopt, rest});
@@ -525,7 +523,8 @@
   }
   ReplicaSet changed = replicas_;
   if (!joining_.empty()) {
-    const auto [id, address] = *joining_.begin();
+    const ReplicaId id = joining_.begin()->first;
+    const Endpoint address = joining_.begin()->second;
     joining_.erase(joining_.begin());
     if (changed.find(id) == nullptr) {
       // The process at this address has a new identity: the old one is gone with its disk.
--- a/src/core/control/replica.h
+++ b/src/core/control/replica.h
@@ -1,6 +1,6 @@
-/// One replica of the control log: elections with pre-vote, majority commit, leader lease, learners,
-/// single-step membership changes, snapshots. A state machine without sockets, clocks or threads.
-/// Source: see replica_messages.h.
+/// One replica of the control log: elections with pre-vote, majority commit, leader lease,
+/// learners, single-step membership changes, snapshots. A state machine without sockets, clocks or
+/// threads. Source: see replica_messages.h.
 #pragma once
 
 #include <map>
@@ -82,8 +82,8 @@
   std::optional<LogIndex> propose(EntryType type, Bytes payload, Instant now);
 
   [[nodiscard]] bool is_leader() const { return role_ == ReplicaRole::kLeader; }
-  /// True while no other replica can have become leader, and everything that was committed before is
-  /// applied here.
+  /// True while no other replica can have become leader, and everything that was committed before
+  /// is applied here.
   [[nodiscard]] bool has_lease(Instant now) const;
   /// Address of the present leader, if it is known.
   [[nodiscard]] std::optional<Endpoint> leader_address() const;
--- a/src/core/control/replica_messages.h
+++ b/src/core/control/replica_messages.h
@@ -21,7 +21,7 @@
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive & pre_vote & last_index & last_term & address;
+    archive& pre_vote& last_index& last_term& address;
   }
 };
 
@@ -31,7 +31,7 @@
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive & pre_vote & granted;
+    archive& pre_vote& granted;
   }
 };
 
@@ -45,7 +45,7 @@
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive & previous_index & previous_term & commit_index & sent_at_us & entries;
+    archive& previous_index& previous_term& commit_index& sent_at_us& entries;
   }
 };
 
@@ -57,7 +57,7 @@
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive & accepted & index & sent_at_us;
+    archive& accepted& index& sent_at_us;
   }
 };
 
@@ -67,7 +67,7 @@
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive & snapshot & sent_at_us;
+    archive& snapshot& sent_at_us;
   }
 };
 
@@ -77,7 +77,7 @@
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive & address;
+    archive& address;
   }
 };
 
--- a/src/core/control/timing.h
+++ b/src/core/control/timing.h
@@ -26,8 +26,8 @@
 constexpr Duration kHeartbeatInterval = milliseconds(1000);
 /// A balancer that no replica heard of for this long is removed from the members.
 constexpr Duration kMemberTimeout = milliseconds(3500);
-/// Longest time for which a balancer may run once-only requests after a report that a majority-backed
-/// leader confirmed.
+/// Longest time for which a balancer may run once-only requests after a report that a
+/// majority-backed leader confirmed.
 constexpr Duration kBalancerLease = timing::kLease;
 /// The membership changes of this time are put into one.
 constexpr Duration kMembersBatch = milliseconds(200);
--- a/src/core/routing/bounded_rendezvous.cc
+++ b/src/core/routing/bounded_rendezvous.cc
@@ -79,8 +79,8 @@
     }
   }
 
-  /// Proposes to candidates whose score is below `bound`, best first, until one accepts. Returns the
-  /// claim that was displaced, with the score at which it was rejected.
+  /// Proposes to candidates whose score is below `bound`, best first, until one accepts. Returns
+  /// the claim that was displaced, with the score at which it was rejected.
   std::optional<Claim> propose(std::uint32_t slot, std::uint64_t bound) {
     while (true) {
       const std::uint32_t best = best_below(slot, bound);
--- a/src/core/routing/bounded_rendezvous.h
+++ b/src/core/routing/bounded_rendezvous.h
@@ -1,9 +1,9 @@
-/// Rendezvous hashing with bounded loads: assigns numbered slots to weighted candidates so that each
-/// candidate gets its exact share (within one slot), from the candidates alone. The result does not
-/// depend on earlier assignments, so every process that knows the same candidates derives the same
-/// table, and nothing of the table needs to be sent or stored.
-/// Sources: Thaler and Ravishankar, "Using name-based mappings to increase hit rates" (1998);
-/// Mirrokni, Thorup and Zadimoghaddam, "Consistent hashing with bounded loads" (2018).
+/// Rendezvous hashing with bounded loads: assigns numbered slots to weighted candidates so that
+/// each candidate gets its exact share (within one slot), from the candidates alone. The result
+/// does not depend on earlier assignments, so every process that knows the same candidates derives
+/// the same table, and nothing of the table needs to be sent or stored. Sources: Thaler and
+/// Ravishankar, "Using name-based mappings to increase hit rates" (1998); Mirrokni, Thorup and
+/// Zadimoghaddam, "Consistent hashing with bounded loads" (2018).
 #pragma once
 
 #include <cstdint>
--- a/src/model/endpoint.h
+++ b/src/model/endpoint.h
@@ -18,7 +18,7 @@
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive & address & port;
+    archive& address& port;
   }
 };
 
--- a/src/model/fleet.h
+++ b/src/model/fleet.h
@@ -31,7 +31,7 @@
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive & name & zone & address & incarnation & state;
+    archive& name& zone& address& incarnation& state;
   }
 };
 
@@ -59,8 +59,8 @@
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive & revision & settings_revision & members_revision & members_epoch & partitions &
-        settings & members & previous_members;
+    archive& revision& settings_revision& members_revision& members_epoch& partitions& settings&
+        members& previous_members;
   }
 };
 
--- a/src/model/flow.h
+++ b/src/model/flow.h
@@ -17,7 +17,7 @@
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive & caller & service;
+    archive& caller& service;
   }
 };
 
@@ -44,7 +44,7 @@
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive & incarnation & sequence;
+    archive& incarnation& sequence;
   }
 };
 
--- a/src/model/settings.h
+++ b/src/model/settings.h
@@ -34,7 +34,7 @@
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive & name & address & zone & weight & draining & slots & max_connections & health;
+    archive& name& address& zone& weight& draining& slots& max_connections& health;
   }
 };
 
@@ -49,8 +49,8 @@
   std::vector<std::string> once_only_paths;
   /// How long a request may wait for a target and its answer.
   std::uint32_t request_timeout_ms = 4000;
-  /// Ownership partitions that the flows of this service spread over, at most FleetState::partitions.
-  /// Fewer mean fewer balancers that share each target's limits.
+  /// Ownership partitions that the flows of this service spread over, at most
+  /// FleetState::partitions. Fewer mean fewer balancers that share each target's limits.
   std::uint32_t owner_spread = 64;
   /// Requests that wait for one target at one balancer before new ones are refused.
   std::uint32_t queue_limit = 32;
@@ -63,8 +63,8 @@
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive & name & address & priority & repeatable_paths & once_only_paths & request_timeout_ms &
-        owner_spread & queue_limit & retry_after_min_s & retry_after_max_s & targets;
+    archive& name& address& priority& repeatable_paths& once_only_paths& request_timeout_ms&
+        owner_spread& queue_limit& retry_after_min_s& retry_after_max_s& targets;
   }
 };
 
@@ -77,7 +77,7 @@
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive & deployment & services;
+    archive& deployment& services;
   }
 };
 
--- a/src/programs/balancer_main.cc
+++ b/src/programs/balancer_main.cc
@@ -1,4 +1,5 @@
-/// gorsevalve-balancer: takes datagrams from the fabric, decides, forwards to targets, returns answers.
+/// gorsevalve-balancer: takes datagrams from the fabric, decides, forwards to targets, returns
+/// answers.
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
@@ -42,8 +43,7 @@
 
   tl::expected<void, std::string> open(const Endpoint& address) {
     auto server = HttpServer::open(
-        loop_, address,
-        [this](HttpServer::RequestNumber number, const HttpRequest& request) {
+        loop_, address, [this](HttpServer::RequestNumber number, const HttpRequest& request) {
           on_request(number, request);
         });
     if (!server) {
@@ -152,8 +152,7 @@
     return fail(balancer.error(), kExitFailure);
   }
   AdminTask admin(loop, **balancer);
-  const auto opened =
-      admin.open(require_endpoint("admin", absl::GetFlag(FLAGS_admin)));
+  const auto opened = admin.open(require_endpoint("admin", absl::GetFlag(FLAGS_admin)));
   if (!opened) {
     return fail(opened.error(), kExitFailure);
   }
--- a/src/programs/control_admin.cc
+++ b/src/programs/control_admin.cc
@@ -81,9 +81,8 @@
                {"lagging", lagging},
                {"replicas", json::array()}};
   for (const auto& replica : node.replica().replicas().replicas) {
-    body["replicas"].push_back({{"address", to_string(replica.address)},
-                                {"voter", replica.voter},
-                                {"id", replica.id}});
+    body["replicas"].push_back(
+        {{"address", to_string(replica.address)}, {"voter", replica.voter}, {"id", replica.id}});
   }
   if (const auto leader = node.replica().leader_address()) {
     body["leader"] = to_string(*leader);
@@ -125,8 +124,8 @@
   const ControlNode& node = control.node();
   const ForceStatus force = node.force_status();
   return render_metrics({
-      {"gorsevalve_control_is_leader", "1 on the leader",
-       node.replica().is_leader() ? 1.0 : 0.0, false},
+      {"gorsevalve_control_is_leader", "1 on the leader", node.replica().is_leader() ? 1.0 : 0.0,
+       false},
       {"gorsevalve_control_term", "Term of the log", static_cast<double>(node.replica().term()),
        false},
       {"gorsevalve_control_commit_index", "Committed log index",
@@ -239,10 +238,9 @@
                            body["text"].is_string();
   if (!well_formed || body["id"].get<std::string>().empty() ||
       body["id"].get<std::string>().size() > kMaxIdSize) {
-    server_->respond(number,
-                     {400, "application/json",
-                      error_body("needs \"id\" (1 to 128 characters), \"base_revision\" (a "
-                                 "number) and \"text\"")});
+    server_->respond(number, {400, "application/json",
+                              error_body("needs \"id\" (1 to 128 characters), \"base_revision\" (a "
+                                         "number) and \"text\"")});
     return;
   }
   SettingsCommand command;
--- a/src/programs/operator_main.cc
+++ b/src/programs/operator_main.cc
@@ -32,20 +32,24 @@
 
 const std::map<std::string, std::string>& command_help() {
   static const std::map<std::string, std::string> kHelp = {
-      {"check", "gorsevalve check FILE\n  Checks a settings file without sending it.\n"
-                "  Exit: 0 good, 2 refused.\n"},
+      {"check",
+       "gorsevalve check FILE\n  Checks a settings file without sending it.\n"
+       "  Exit: 0 good, 2 refused.\n"},
       {"apply",
        "gorsevalve apply FILE --server=IP:port,... --token_file=FILE [--wait] [--base=N]\n"
        "                [--id=ID] [--author=NAME] [--timeout_s=N]\n"
-       "  Submits a whole settings file. With --wait it returns when the file is in force on every\n"
+       "  Submits a whole settings file. With --wait it returns when the file is in force on "
+       "every\n"
        "  balancer. A resend with the same --id gives the first outcome again.\n"
        "  Exit: 0 accepted, 2 refused, 3 conflict, 4 no leader reached, 5 not in force in time.\n"},
-      {"status", "gorsevalve status --server=IP:port,... --token_file=FILE [--json]\n"
-                 "  Shows the leader's view: revision, members, and which lag.\n"
-                 "  Exit: 0, or 4 when no leader was reached.\n"},
-      {"diff", "gorsevalve diff FILE --server=IP:port,... --token_file=FILE\n"
-               "  Shows the lines in which FILE differs from the settings in force.\n"
-               "  Exit: 0 equal, 3 different, 4 no leader reached.\n"},
+      {"status",
+       "gorsevalve status --server=IP:port,... --token_file=FILE [--json]\n"
+       "  Shows the leader's view: revision, members, and which lag.\n"
+       "  Exit: 0, or 4 when no leader was reached.\n"},
+      {"diff",
+       "gorsevalve diff FILE --server=IP:port,... --token_file=FILE\n"
+       "  Shows the lines in which FILE differs from the settings in force.\n"
+       "  Exit: 0 equal, 3 different, 4 no leader reached.\n"},
   };
   return kHelp;
 }
@@ -71,11 +75,10 @@
   /// The leader's response; nothing when none answered in time.
   std::optional<HttpClientResponse> request(const std::string& method, const std::string& path,
                                             const std::string& body = {}) {
-    const Instant deadline =
-        monotonic_now() + std::chrono::seconds(absl::GetFlag(FLAGS_timeout_s));
+    const Instant deadline = monotonic_now() + std::chrono::seconds(absl::GetFlag(FLAGS_timeout_s));
     do {
       for (const auto& server : servers_) {
-        const auto response = send(server, method, path, body);
+        auto response = send(server, method, path, body);
         const bool leads = response && response->status != kNotLeader &&
                            response->status != kPending && is_from_leader(path, *response);
         if (leads) {
@@ -272,8 +275,7 @@
                              const std::vector<std::string>& after) {
   const std::size_t rows = before.size();
   const std::size_t columns = after.size();
-  std::vector<std::vector<std::uint32_t>> common(rows + 1,
-                                                 std::vector<std::uint32_t>(columns + 1));
+  std::vector<std::vector<std::uint32_t>> common(rows + 1, std::vector<std::uint32_t>(columns + 1));
   for (std::size_t i = rows; i > 0; --i) {
     for (std::size_t j = columns; j > 0; --j) {
       common[i - 1][j - 1] = before[i - 1] == after[j - 1]
@@ -317,8 +319,9 @@
   const std::string file = words.size() > 2 ? words[2] : "";
   const bool needs_file = command == "check" || command == "apply" || command == "diff";
   if (!command_help().contains(command) || (needs_file && file.empty())) {
-    std::fprintf(stderr, "usage: gorsevalve check|apply|status|diff [FILE] [flags]; "
-                         "gorsevalve COMMAND --help\n");
+    std::fprintf(stderr,
+                 "usage: gorsevalve check|apply|status|diff [FILE] [flags]; "
+                 "gorsevalve COMMAND --help\n");
     return kExitUsage;
   }
   if (command == "check") {
--- a/src/settings/settings_file.cc
+++ b/src/settings/settings_file.cc
@@ -194,8 +194,9 @@
   }
   check_unique(settings, root);
   if (!errors.empty()) {
-    std::stable_sort(errors.begin(), errors.end(),
-                     [](const SettingsError& a, const SettingsError& b) { return a.line < b.line; });
+    std::stable_sort(
+        errors.begin(), errors.end(),
+        [](const SettingsError& a, const SettingsError& b) { return a.line < b.line; });
     return tl::unexpected(std::move(errors));
   }
   return settings;
@@ -205,9 +206,9 @@
                                         const std::string& file) {
   std::vector<SettingsError> errors;
   if (!before.deployment.empty() && before.deployment != after.deployment) {
-    errors.push_back({file, 0, "deployment",
-                      "is \"" + after.deployment + "\", but this fleet runs \"" +
-                          before.deployment + "\""});
+    errors.push_back(
+        {file, 0, "deployment",
+         "is \"" + after.deployment + "\", but this fleet runs \"" + before.deployment + "\""});
   }
   for (const auto& service : after.services) {
     const auto old = std::find_if(
--- a/src/settings/table_reader.cc
+++ b/src/settings/table_reader.cc
@@ -41,8 +41,8 @@
                                   std::int64_t maximum) const {
   const auto value = (*table_)[key].value<std::int64_t>();
   if (!value || !(*table_)[key].is_integer() || *value < minimum || *value > maximum) {
-    error(key, "must be an integer from " + std::to_string(minimum) + " to " +
-                   std::to_string(maximum));
+    error(key,
+          "must be an integer from " + std::to_string(minimum) + " to " + std::to_string(maximum));
     return minimum;
   }
   return *value;
@@ -110,10 +110,9 @@
     return readers;
   }
   const toml::array* array = (*table_)[key].as_array();
-  const bool all_tables = array != nullptr && std::all_of(array->begin(), array->end(),
-                                                          [](const toml::node& node) {
-                                                            return node.is_table();
-                                                          });
+  const bool all_tables =
+      array != nullptr && std::all_of(array->begin(), array->end(),
+                                      [](const toml::node& node) { return node.is_table(); });
   if (!all_tables) {
     error(key, "must be written as [[" + field(key) + "]]");
     return readers;
--- a/src/standins/caller_main.cc
+++ b/src/standins/caller_main.cc
@@ -1,5 +1,5 @@
-/// standin-caller: many callers at once against one service; checks every answer and prints what it saw
-/// as one JSON object.
+/// standin-caller: many callers at once against one service; checks every answer and prints what it
+/// saw as one JSON object.
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
--- a/src/standins/caller_model.cc
+++ b/src/standins/caller_model.cc
@@ -79,8 +79,8 @@
   request.token = message.token;
   request.message_id = message.message_id;
   request.first_sent = now;
-  request.timeout =
-      Duration(static_cast<std::int64_t>(static_cast<double>(kAckTimeout.count()) * factor(random_)));
+  request.timeout = Duration(
+      static_cast<std::int64_t>(static_cast<double>(kAckTimeout.count()) * factor(random_)));
   request.next_send = now + request.timeout;
   request.sends = 1;
   outstanding_ = std::move(request);
--- a/src/standins/caller_model.h
+++ b/src/standins/caller_model.h
@@ -1,5 +1,5 @@
-/// Behaviour of callers, for the simulator and the stand-in program. Each caller has its own endpoint
-/// and does one kind of work; every answer is checked against what was asked.
+/// Behaviour of callers, for the simulator and the stand-in program. Each caller has its own
+/// endpoint and does one kind of work; every answer is checked against what was asked.
 #pragma once
 
 #include <deque>
--- a/src/standins/target_main.cc
+++ b/src/standins/target_main.cc
@@ -1,5 +1,5 @@
-/// standin-target: one or more back ends, each on an address of its own, with health endpoints and a
-/// record of every execution.
+/// standin-target: one or more back ends, each on an address of its own, with health endpoints and
+/// a record of every execution.
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
--- a/src/standins/target_model.cc
+++ b/src/standins/target_model.cc
@@ -31,8 +31,10 @@
   if (age >= config_.cold_for) {
     return config_.service_time;
   }
-  const double warm = static_cast<double>(age.count()) / static_cast<double>(config_.cold_for.count());
-  const auto extra = static_cast<double>((config_.cold_service_time - config_.service_time).count());
+  const double warm =
+      static_cast<double>(age.count()) / static_cast<double>(config_.cold_for.count());
+  const auto extra =
+      static_cast<double>((config_.cold_service_time - config_.service_time).count());
   return config_.service_time + Duration(static_cast<std::int64_t>(extra * (1 - warm)));
 }
 
@@ -73,8 +75,8 @@
     }
   }
   for (auto feed = feeds_.begin(); feed != feeds_.end(); ++feed) {
-    const bool matches = feed->first.flow == header.flow &&
-                         feed->second.last_message_id == summary.message_id;
+    const bool matches =
+        feed->first.flow == header.flow && feed->second.last_message_id == summary.message_id;
     if (!matches) {
       continue;
     }
--- a/src/standins/target_model.h
+++ b/src/standins/target_model.h
@@ -1,6 +1,6 @@
 /// Behaviour of a back end, for the simulator and the stand-in program: a CoAP server behind PROXY
-/// headers with two slots, a short queue, feeds, downloads, once-only updates, draining, cold start,
-/// shedding and cancellation. It counts every execution by the caller's own id.
+/// headers with two slots, a short queue, feeds, downloads, once-only updates, draining, cold
+/// start, shedding and cancellation. It counts every execution by the caller's own id.
 #pragma once
 
 #include <absl/container/flat_hash_map.h>
--- a/src/storage/disk.h
+++ b/src/storage/disk.h
@@ -30,8 +30,8 @@
 using StorageResult = tl::expected<T, StorageError>;
 
 /// Files of one data folder, by plain name. A write is safe only after a successful `sync` of the
-/// file, or when the call says that it syncs. After a failed sync the content is unknown: the process
-/// must stop, not try again.
+/// file, or when the call says that it syncs. After a failed sync the content is unknown: the
+/// process must stop, not try again.
 class Disk {
  public:
   virtual ~Disk() = default;
--- a/src/storage/log_store.cc
+++ b/src/storage/log_store.cc
@@ -37,10 +37,10 @@
 }
 
 tl::unexpected<StorageError> corrupt(const std::string& file, std::size_t offset) {
-  return tl::unexpected(StorageError{
-      StorageErrorKind::kCorrupt,
-      file + ": damaged at offset " + std::to_string(offset) +
-          "; replace this replica's data folder, see docs/operators/control.md"});
+  return tl::unexpected(
+      StorageError{StorageErrorKind::kCorrupt,
+                   file + ": damaged at offset " + std::to_string(offset) +
+                       "; replace this replica's data folder, see docs/operators/control.md"});
 }
 
 /// True when an intact frame begins anywhere in `bytes` after its first octet.
@@ -137,9 +137,9 @@
 StorageResult<std::optional<ReplicaIdentity>> LogStore::read_identity() {
   auto identity = read_single<ReplicaIdentity>(disk_, kIdentityName);
   if (identity && identity->has_value() && (*identity)->format != kFormat) {
-    return tl::unexpected(StorageError{
-        StorageErrorKind::kFormat, "identity: format " + std::to_string((*identity)->format) +
-                                       ", this program reads " + std::to_string(kFormat)});
+    return tl::unexpected(StorageError{StorageErrorKind::kFormat,
+                                       "identity: format " + std::to_string((*identity)->format) +
+                                           ", this program reads " + std::to_string(kFormat)});
   }
   return identity;
 }
@@ -223,7 +223,7 @@
   }
   const Bytes bytes = encode_frame(encode_archive(frame));
   const std::string name = segment_name(segment_);
-  const auto appended = disk_.append(name, bytes);
+  auto appended = disk_.append(name, bytes);
   if (!appended) {
     return appended;
   }
@@ -234,10 +234,11 @@
 
 StorageResult<void> LogStore::replace_with_snapshot(const Snapshot& snapshot,
                                                     const LogFrame& frame) {
-  // Order: the snapshot, then a new segment that holds all that is still needed, then the removal of
-  // the old segments, the oldest first. A crash between two steps leaves a readable log: entries that
-  // the snapshot covers are skipped, and the frame repeats entries with a truncation before them.
-  const auto written = disk_.replace(kSnapshotName, encode_frame(encode_archive(snapshot)));
+  // Order: the snapshot, then a new segment that holds all that is still needed, then the removal
+  // of the old segments, the oldest first. A crash between two steps leaves a readable log: entries
+  // that the snapshot covers are skipped, and the frame repeats entries with a truncation before
+  // them.
+  auto written = disk_.replace(kSnapshotName, encode_frame(encode_archive(snapshot)));
   if (!written) {
     return written;
   }
@@ -250,12 +251,12 @@
   log_size_ = 0;
   LogFrame first = frame;
   first.truncate_from = snapshot.index + 1;
-  const auto begun = append(first);
+  auto begun = append(first);
   if (!begun) {
     return begun;
   }
   for (const std::uint64_t number : *old) {
-    const auto removed = disk_.remove(segment_name(number));
+    auto removed = disk_.remove(segment_name(number));
     if (!removed) {
       return removed;
     }
--- a/src/storage/log_store.h
+++ b/src/storage/log_store.h
@@ -2,9 +2,10 @@
 ///
 /// The log is a sequence of frames in segment files `log-N.seg`:
 ///   magic (4 octets) | body length (4, little endian) | XXH3 of the body (8) | body
-/// A body is an archive of LogFrame. Each call writes one frame and syncs it before it returns, so only
-/// the last frame can be torn. A damaged frame with an intact frame after it is corruption, and the
-/// store refuses to open. `snapshot` and `identity` hold one frame each and are replaced as a whole.
+/// A body is an archive of LogFrame. Each call writes one frame and syncs it before it returns, so
+/// only the last frame can be torn. A damaged frame with an intact frame after it is corruption,
+/// and the store refuses to open. `snapshot` and `identity` hold one frame each and are replaced as
+/// a whole.
 #pragma once
 
 #include <memory>
@@ -35,7 +36,7 @@
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive & id & cluster & format & first_replicas;
+    archive& id& cluster& format& first_replicas;
   }
 };
 
@@ -48,7 +49,7 @@
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive & hard_state & truncate_from & entries;
+    archive& hard_state& truncate_from& entries;
   }
 };
 
@@ -71,8 +72,8 @@
   /// Appends one frame and syncs it. After an error the store must not be used again.
   [[nodiscard]] StorageResult<void> append(const LogFrame& frame);
 
-  /// Makes a snapshot durable, then drops the segments; `frame` holds the hard state and the entries
-  /// after the snapshot, and begins the new log.
+  /// Makes a snapshot durable, then drops the segments; `frame` holds the hard state and the
+  /// entries after the snapshot, and begins the new log.
   [[nodiscard]] StorageResult<void> replace_with_snapshot(const Snapshot& snapshot,
                                                           const LogFrame& frame);
 
--- a/src/storage/posix_disk.cc
+++ b/src/storage/posix_disk.cc
@@ -91,8 +91,8 @@
     }
   }
   if (error) {
-    return tl::unexpected(StorageError{StorageErrorKind::kOperation,
-                                       "list " + folder_ + ": " + error.message()});
+    return tl::unexpected(
+        StorageError{StorageErrorKind::kOperation, "list " + folder_ + ": " + error.message()});
   }
   return names;
 }
--- a/src/tasks/balancer_task.cc
+++ b/src/tasks/balancer_task.cc
@@ -11,8 +11,8 @@
 namespace {
 
 constexpr const char* kFleetName = "fleet";
-/// After its partitions have moved, a stopping balancer relays this long what the fabric still sends
-/// it, since the list of live machines lags.
+/// After its partitions have moved, a stopping balancer relays this long what the fabric still
+/// sends it, since the list of live machines lags.
 constexpr Duration kLinger = std::chrono::seconds(3);
 
 /// The fleet state kept over a restart; an empty one when there is none or it is damaged, since the
--- a/src/tasks/balancer_task.h
+++ b/src/tasks/balancer_task.h
@@ -1,4 +1,5 @@
-/// The balancer's main task: owns its sockets and the balancer core, and moves messages between them.
+/// The balancer's main task: owns its sockets and the balancer core, and moves messages between
+/// them.
 #pragma once
 
 #include <functional>
@@ -61,8 +62,7 @@
   void on_tick();
 
   void send_to_caller(const FlowKey& flow, ByteView message) override;
-  void send_to_target(const Endpoint& target, const ProxyHeader& header,
-                      ByteView message) override;
+  void send_to_target(const Endpoint& target, const ProxyHeader& header, ByteView message) override;
   void relay(const Endpoint& peer, const ProxyHeader& header, ByteView payload) override;
   void send_peer(const Endpoint& peer, const PeerMessage& message) override;
   void send_control(const Endpoint& replica, const NodeMessage& message) override;
--- a/src/tasks/control_task.cc
+++ b/src/tasks/control_task.cc
@@ -30,8 +30,8 @@
     return tl::unexpected(existing.error());
   }
   if (existing->has_value()) {
-    return tl::unexpected(StorageError{StorageErrorKind::kOperation,
-                                       "the data folder holds a replica already"});
+    return tl::unexpected(
+        StorageError{StorageErrorKind::kOperation, "the data folder holds a replica already"});
   }
   ReplicaIdentity identity;
   identity.cluster = config.cluster;
@@ -42,14 +42,15 @@
     }
   }
   if (identity.id == 0) {
-    return tl::unexpected(StorageError{StorageErrorKind::kOperation,
-                                       "--address is not among --replicas"});
+    return tl::unexpected(
+        StorageError{StorageErrorKind::kOperation, "--address is not among --replicas"});
   }
   return store.write_identity(identity);
 }
 
-tl::expected<std::unique_ptr<ControlTask>, std::string> ControlTask::open(
-    EventLoop& loop, ControlTaskConfig config, Disk& disk) {
+tl::expected<std::unique_ptr<ControlTask>, std::string> ControlTask::open(EventLoop& loop,
+                                                                          ControlTaskConfig config,
+                                                                          Disk& disk) {
   std::unique_ptr<ControlTask> task(new ControlTask(loop, std::move(config), disk));
   auto identity = task->store_.read_identity();
   if (!identity) {
@@ -80,9 +81,9 @@
   ControlTask& self = *task;
   ReplicaStorage& storage = self;
   ControlOutput& output = self;
-  self.node_ = std::make_unique<ControlNode>(replica, (*identity)->first_replicas,
-                                             std::move(*stored), kDefaultPartitions, storage,
-                                             output, monotonic_now());
+  self.node_ =
+      std::make_unique<ControlNode>(replica, (*identity)->first_replicas, std::move(*stored),
+                                    kDefaultPartitions, storage, output, monotonic_now());
   const auto listening = self.network_.listen(self.config_.address);
   if (!listening) {
     return tl::unexpected(listening.error());
@@ -137,7 +138,7 @@
   const SubmissionId id = command.id;
   log_event(LogLevel::kInfo, "submission",
             {{"id", id}, {"author", command.author}, {"base_revision", command.base_revision}});
-  const SubmissionResult result = node_->submit(std::move(command), now);
+  const SubmissionResult result = node_->submit(command, now);
   if (result.status != ControlStatus::kPending) {
     callback(result);
     return;
@@ -168,8 +169,8 @@
 }
 
 void ControlTask::send_node(const Endpoint& to, const NodeMessage& message) {
-  const bool is_replica = std::find(config_.replicas.begin(), config_.replicas.end(), to) !=
-                          config_.replicas.end();
+  const bool is_replica =
+      std::find(config_.replicas.begin(), config_.replicas.end(), to) != config_.replicas.end();
   network_.send(to, envelope_.seal(message), is_replica);
 }
 
--- a/src/tasks/control_task.h
+++ b/src/tasks/control_task.h
@@ -1,5 +1,5 @@
-/// The control process's main task: owns the log, the connections to replicas and balancers, and the
-/// control core.
+/// The control process's main task: owns the log, the connections to replicas and balancers, and
+/// the control core.
 #pragma once
 
 #include <functional>
@@ -25,7 +25,8 @@
   std::uint64_t incarnation = 0;
 };
 
-/// Replicas that found a cluster: their identities follow from the cluster's name and their addresses.
+/// Replicas that found a cluster: their identities follow from the cluster's name and their
+/// addresses.
 ReplicaSet founding_replicas(const std::string& cluster, const std::vector<Endpoint>& addresses);
 
 class ControlTask : private ControlOutput, private ReplicaStorage {
@@ -35,8 +36,8 @@
   /// Writes the identity of a founding replica into an empty data folder.
   static StorageResult<void> initialize(Disk& disk, const ControlTaskConfig& config);
 
-  /// Opens the data folder and starts. A folder without identity gets a new one, which takes part as a
-  /// learner once the leader admitted it.
+  /// Opens the data folder and starts. A folder without identity gets a new one, which takes part
+  /// as a learner once the leader admitted it.
   static tl::expected<std::unique_ptr<ControlTask>, std::string> open(EventLoop& loop,
                                                                       ControlTaskConfig config,
                                                                       Disk& disk);
--- a/src/tasks/event_loop.cc
+++ b/src/tasks/event_loop.cc
@@ -17,7 +17,8 @@
   return Instant(std::chrono::duration_cast<Duration>(now));
 }
 
-/// One h2o timeout with its action. The entry is the first member, so that a callback finds the timer.
+/// One h2o timeout with its action. The entry is the first member, so that a callback finds the
+/// timer.
 struct EventLoop::Timer {
   h2o_timeout_entry_t entry{};
   h2o_timeout_t timeout{};
--- a/src/tasks/frame_network.cc
+++ b/src/tasks/frame_network.cc
@@ -153,7 +153,7 @@
   return true;
 }
 
-void FrameNetwork::send(const Endpoint& to, Bytes frame, bool may_dial) {
+void FrameNetwork::send(const Endpoint& to, const Bytes& frame, bool may_dial) {
   auto found = by_peer_.find(to);
   if (found == by_peer_.end() && may_dial) {
     dial(to);
@@ -200,9 +200,8 @@
     }
   }
   h2o_socket_close(connection.socket);
-  connections_.remove_if([&](const std::unique_ptr<Connection>& held) {
-    return held.get() == &connection;
-  });
+  connections_.remove_if(
+      [&](const std::unique_ptr<Connection>& held) { return held.get() == &connection; });
 }
 
 }  // namespace gorsevalve
--- a/src/tasks/frame_network.h
+++ b/src/tasks/frame_network.h
@@ -1,6 +1,6 @@
-/// Messages over TCP between control replicas and balancers: sealed messages with a length before each.
-/// A process is known by the address that its messages name; replies go over the connection on which
-/// the peer was heard last, and replicas are dialled when there is none.
+/// Messages over TCP between control replicas and balancers: sealed messages with a length before
+/// each. A process is known by the address that its messages name; replies go over the connection
+/// on which the peer was heard last, and replicas are dialled when there is none.
 #pragma once
 
 #include <functional>
@@ -19,8 +19,8 @@
 
 class FrameNetwork {
  public:
-  /// Handles one frame and gives the sender that it names, or nothing when it was not authentic; such
-  /// a connection is closed.
+  /// Handles one frame and gives the sender that it names, or nothing when it was not authentic;
+  /// such a connection is closed.
   using Receiver = std::function<std::optional<Endpoint>(ByteView frame)>;
 
   FrameNetwork(EventLoop& loop, Receiver receiver);
@@ -31,9 +31,9 @@
   /// Accepts connections at an address. The error names the address.
   tl::expected<void, std::string> listen(const Endpoint& address);
 
-  /// Sends a frame. Without a connection one is dialled when `dial` is set, else the frame is dropped.
-  /// A frame is dropped too when too much waits on the connection.
-  void send(const Endpoint& to, Bytes frame, bool dial);
+  /// Sends a frame. Without a connection one is dialled when `may_dial` is set, else the frame is
+  /// dropped. A frame is dropped too when too much waits on the connection.
+  void send(const Endpoint& to, const Bytes& frame, bool may_dial);
 
  private:
   struct Connection;
--- a/src/tasks/http_client.cc
+++ b/src/tasks/http_client.cc
@@ -25,8 +25,8 @@
   }
 
   void write_head() {
-    head = request.method + " " + request.path + " HTTP/1.1\r\nhost: " +
-           to_string(request.server) + "\r\nconnection: close\r\n";
+    head = request.method + " " + request.path + " HTTP/1.1\r\nhost: " + to_string(request.server) +
+           "\r\nconnection: close\r\n";
     if (!request.token.empty()) {
       head += "authorization: Bearer " + request.token + "\r\n";
     }
@@ -38,8 +38,7 @@
   }
 
   static h2o_http1client_head_cb on_connect(h2o_http1client_t* client, const char* error,
-                                            h2o_iovec_t** parts, std::size_t* count,
-                                            int* is_head) {
+                                            h2o_iovec_t** parts, std::size_t* count, int* is_head) {
     Exchange* exchange = of(client);
     if (error != nullptr) {
       exchange->finish(tl::unexpected(std::string(error)));
@@ -103,8 +102,8 @@
   const std::string address = to_string(exchange->request.server);
   const std::string host = address.substr(0, address.find(':'));
   h2o_http1client_connect(nullptr, exchange, &internals_->context,
-                          h2o_iovec_init(host.data(), host.size()),
-                          exchange->request.server.port, 0, &Exchange::on_connect);
+                          h2o_iovec_init(host.data(), host.size()), exchange->request.server.port,
+                          0, &Exchange::on_connect);
 }
 
 }  // namespace gorsevalve
--- a/src/tasks/http_server.cc
+++ b/src/tasks/http_server.cc
@@ -38,8 +38,8 @@
   h2o_socket_t* listener = nullptr;
 };
 
-HttpServer::HttpServer(EventLoop& loop, Handler handler)
-    : loop_(loop), handler_(std::move(handler)), internals_(std::make_unique<Internals>()) {}
+HttpServer::HttpServer(Handler handler)
+    : handler_(std::move(handler)), internals_(std::make_unique<Internals>()) {}
 
 tl::expected<std::unique_ptr<HttpServer>, std::string> HttpServer::open(EventLoop& loop,
                                                                         const Endpoint& address,
@@ -57,15 +57,15 @@
     ::close(descriptor);
     return tl::unexpected(message);
   }
-  std::unique_ptr<HttpServer> server(new HttpServer(loop, std::move(handler)));
+  std::unique_ptr<HttpServer> server(new HttpServer(std::move(handler)));
   Internals& internals = *server->internals_;
   h2o_config_init(&internals.config);
   internals.config.max_request_entity_size = kMaxBody;
   h2o_hostconf_t* host =
       h2o_config_register_host(&internals.config, h2o_iovec_init(H2O_STRLIT("default")), 65535);
   h2o_pathconf_t* path = h2o_config_register_path(host, "/", 0);
-  auto* handler_slot = reinterpret_cast<Internals::Handler*>(
-      h2o_create_handler(path, sizeof(Internals::Handler)));
+  auto* handler_slot =
+      reinterpret_cast<Internals::Handler*>(h2o_create_handler(path, sizeof(Internals::Handler)));
   handler_slot->server = server.get();
   handler_slot->base.on_req = [](h2o_handler_t* self, h2o_req_t* request) {
     return reinterpret_cast<Internals::Handler*>(self)->server->on_request(request);
@@ -73,8 +73,7 @@
   h2o_context_init(&internals.context, loop.raw(), &internals.config);
   internals.accept.ctx = &internals.context;
   internals.accept.hosts = internals.config.hosts;
-  internals.listener =
-      h2o_evloop_socket_create(loop.raw(), descriptor, H2O_SOCKET_FLAG_DONT_READ);
+  internals.listener = h2o_evloop_socket_create(loop.raw(), descriptor, H2O_SOCKET_FLAG_DONT_READ);
   internals.listener->data = server.get();
   h2o_socket_read_start(internals.listener, [](h2o_socket_t* socket, const char* /*error*/) {
     static_cast<HttpServer*>(socket->data)->on_accept();
@@ -103,8 +102,7 @@
     copy.query = to_string(request->path).substr(request->query_at + 1);
   }
   copy.body = to_string(request->entity);
-  const ssize_t header =
-      h2o_find_header(&request->headers, H2O_TOKEN_AUTHORIZATION, -1);
+  const ssize_t header = h2o_find_header(&request->headers, H2O_TOKEN_AUTHORIZATION, -1);
   if (header != -1) {
     copy.authorization = to_string(request->headers.entries[header].value);
   }
--- a/src/tasks/http_server.h
+++ b/src/tasks/http_server.h
@@ -52,11 +52,10 @@
 
  private:
   struct Internals;
-  HttpServer(EventLoop& loop, Handler handler);
+  explicit HttpServer(Handler handler);
   void on_accept();
   int on_request(h2o_req_t* request);
 
-  EventLoop& loop_;
   Handler handler_;
   std::unique_ptr<Internals> internals_;
   RequestNumber last_number_ = 0;
--- a/src/tasks/log.h
+++ b/src/tasks/log.h
@@ -9,7 +9,8 @@
 enum class LogLevel { kDebug, kInfo, kWarning, kError };
 
 /// Sets up logging to the standard error stream, or to a file when `path` is not empty. `node` and
-/// `zone` stand in every line. `level` is "debug", "info", "warning" or "error"; false for any other.
+/// `zone` stand in every line. `level` is "debug", "info", "warning" or "error"; false for any
+/// other.
 bool init_logging(const std::string& node, const std::string& zone, const std::string& level,
                   const std::string& path);
 
--- a/src/tasks/metrics.cc
+++ b/src/tasks/metrics.cc
@@ -41,8 +41,7 @@
       counter("partitions_taken_over", "Partitions acquired", c.partitions_taken_over),
       counter("partitions_incomplete", "Partitions acquired without all records",
               c.partitions_incomplete),
-      counter("partitions_superseded", "Partitions lost to a newer owner",
-              c.partitions_superseded),
+      counter("partitions_superseded", "Partitions lost to a newer owner", c.partitions_superseded),
       counter("dispatches_blocked", "Dispatches to a target that is not the service's",
               c.dispatches_blocked),
   };
--- a/src/tasks/target_poller.cc
+++ b/src/tasks/target_poller.cc
@@ -36,8 +36,7 @@
       failed.target = address;
       failed.healthy = false;
       const bool answered = result && result->status == 200;
-      const auto report =
-          answered ? parse_target_report(address, result->body) : std::nullopt;
+      const auto report = answered ? parse_target_report(address, result->body) : std::nullopt;
       sink_(report.value_or(failed));
     });
   }
--- a/src/tasks/udp_socket.h
+++ b/src/tasks/udp_socket.h
@@ -1,5 +1,5 @@
-/// A UDP socket on an event loop. h2o's stream sockets carry no datagrams, so h2o gives readiness only
-/// and the datagrams move by recvmmsg and sendmmsg.
+/// A UDP socket on an event loop. h2o's stream sockets carry no datagrams, so h2o gives readiness
+/// only and the datagrams move by recvmmsg and sendmmsg.
 #pragma once
 
 #include <array>
@@ -31,8 +31,8 @@
   /// `receiver` is called for each datagram; `after_batch` after the last one that was waiting.
   void start(Receiver receiver, std::function<void()> after_batch = {});
 
-  /// Queues a datagram made of two parts. It leaves with the next `flush`, or when the queue is full.
-  /// Datagrams that the kernel does not take are dropped, as a network would.
+  /// Queues a datagram made of two parts. It leaves with the next `flush`, or when the queue is
+  /// full. Datagrams that the kernel does not take are dropped, as a network would.
   void send(const Endpoint& to, ByteView head, ByteView body = {});
   void flush();
 
