--- a/src/core/balancer/balancer.cc
+++ b/src/core/balancer/balancer.cc
@@ -11,6 +11,17 @@
 /// Pause between two steps of the sweep for idle flows and unused copies.
 constexpr Duration kSweepInterval = std::chrono::milliseconds(200);
 
+/// Hash maps have no fixed order; effects must have one.
+void sort_by_id(std::vector<RequestRecord*>& records) {
+  std::sort(records.begin(), records.end(),
+            [](const RequestRecord* a, const RequestRecord* b) { return a->id < b->id; });
+}
+
+/// The partition that a message is about.
+PartitionId partition_of(const PeerMessage& message) {
+  return std::visit([](const auto& body) { return body.partition; }, message);
+}
+
 }  // namespace
 
 Balancer::Balancer(BalancerConfig config, BalancerOutput& output)
@@ -42,7 +53,7 @@
     ++counters_.datagrams_unknown_service;
     return;
   }
-  Partition& partition = state_.partition(state_.view()->partition_of(header.flow, *service));
+  Partition& partition = state_.partitions().at(state_.view()->partition_of(header.flow, *service));
   switch (partition.role) {
     case PartitionRole::kOwner:
       on_owned(partition, header, payload, now);
@@ -154,7 +165,9 @@
       balancer.handover_.on_takeover_chunk(from, chunk, now);
     }
   };
-  if (state_.view() != nullptr) {
+  const bool known =
+      state_.view() != nullptr && partition_of(message) < state_.view()->state().partitions;
+  if (known) {
     std::visit(Visitor{*this, from, now}, message);
   }
 }
@@ -166,10 +179,9 @@
   }
   const Revision old_members =
       state_.view() == nullptr ? 0 : state_.view()->state().members_revision;
-  const std::shared_ptr<const FleetView> old_view = state_.view();
   state_.set_view(std::make_shared<const FleetView>(std::move(fleet)));
   board_.adopt(*state_.view(), now);
-  for (auto& [id, partition] : state_.partitions()) {
+  for (Partition* partition : state_.partitions().used()) {
     if (partition->role == PartitionRole::kOwner) {
       binding_.mark_exceptions(*partition);
     }
@@ -181,7 +193,7 @@
 }
 
 void Balancer::move_feeds_from_lost_targets(Instant now) {
-  for (auto& [id, partition] : state_.partitions()) {
+  for (Partition* partition : state_.partitions().used()) {
     if (partition->role != PartitionRole::kOwner) {
       continue;
     }
@@ -198,6 +210,7 @@
         lost.push_back(record);
       }
     }
+    sort_by_id(lost);
     for (RequestRecord* record : lost) {
       const ServiceView* service = state_.view()->service(record->flow.service);
       const Target* target = actions_.place(*service, record->flow, now, record->target);
@@ -226,9 +239,8 @@
   if (now >= next_sweep_) {
     next_sweep_ = now + kSweepInterval;
     sweep_position_ = (sweep_position_ + 1) % state_.view()->state().partitions;
-    const auto found = state_.partitions().find(sweep_position_);
-    if (found != state_.partitions().end()) {
-      binding_.release_idle(*found->second, now);
+    if (Partition* partition = state_.partitions().find(sweep_position_)) {
+      binding_.release_idle(*partition, now);
     }
     if (sweep_position_ == 0) {
       backups_.drop_unused(now);
@@ -241,13 +253,10 @@
   while (!deadlines.empty() && deadlines.top().at <= now) {
     const DeadlineEntry entry = deadlines.top();
     deadlines.pop();
-    const auto partition = state_.partitions().find(entry.partition);
-    if (partition == state_.partitions().end()) {
-      continue;
-    }
-    RequestRecord* record = partition->second->store.find_request(entry.id);
+    Partition& partition = state_.partitions().at(entry.partition);
+    RequestRecord* record = partition.store.find_request(entry.id);
     if (record != nullptr && record->deadline <= now) {
-      on_expired(*partition->second, *record, now);
+      on_expired(partition, *record, now);
     }
   }
 }
@@ -328,6 +337,7 @@
       waiting.push_back(record);
     }
   }
+  sort_by_id(waiting);
   for (RequestRecord* record : waiting) {
     chain_.resume(partition, *record, ChainEntry::kRecord, now);
   }
@@ -352,7 +362,7 @@
 
 std::size_t Balancer::flow_count() const {
   std::size_t count = 0;
-  for (const auto& [id, partition] : const_cast<BalancerState&>(state_).partitions()) {
+  for (const Partition* partition : state_.partitions().used()) {
     count += partition->store.flows().size();
   }
   return count;
@@ -360,7 +370,7 @@
 
 std::size_t Balancer::request_count() const {
   std::size_t count = 0;
-  for (const auto& [id, partition] : const_cast<BalancerState&>(state_).partitions()) {
+  for (const Partition* partition : state_.partitions().used()) {
     count += partition->store.requests().size();
   }
   return count;
--- a/src/core/balancer/balancer_state.h
+++ b/src/core/balancer/balancer_state.h
@@ -9,7 +9,7 @@
 
 #include "core/balancer/fleet_view.h"
 #include "core/balancer/output.h"
-#include "core/balancer/partition.h"
+#include "core/balancer/partition_table.h"
 #include "core/balancer/target_board.h"
 #include "model/fleet.h"
 
@@ -102,14 +102,8 @@
   [[nodiscard]] const std::shared_ptr<const FleetView>& view() const { return view_; }
   void set_view(std::shared_ptr<const FleetView> view) { view_ = std::move(view); }
 
-  Partition& partition(PartitionId id) {
-    auto& slot = partitions_[id];
-    if (slot == nullptr) {
-      slot = std::make_unique<Partition>(id, pool_);
-    }
-    return *slot;
-  }
-  absl::flat_hash_map<PartitionId, std::unique_ptr<Partition>>& partitions() { return partitions_; }
+  PartitionTable& partitions() { return partitions_; }
+  [[nodiscard]] const PartitionTable& partitions() const { return partitions_; }
 
   RequestId next_request_id() { return {config_.self.incarnation, ++last_sequence_}; }
 
@@ -135,7 +129,7 @@
   RetryBudget retry_budget_;
   std::shared_ptr<const FleetView> view_;
   RequestPool pool_;
-  absl::flat_hash_map<PartitionId, std::unique_ptr<Partition>> partitions_;
+  PartitionTable partitions_{pool_};
   std::priority_queue<DeadlineEntry, std::vector<DeadlineEntry>, std::greater<>> deadlines_;
   std::uint64_t last_sequence_ = 0;
   Instant lease_until_;
--- a/src/core/balancer/handover.cc
+++ b/src/core/balancer/handover.cc
@@ -44,6 +44,11 @@
   for (const auto& [id, record] : store.requests()) {
     batch.requests.push_back(*record);
   }
+  // Hash maps have no fixed order; a transfer must have one.
+  std::sort(batch.pins.begin(), batch.pins.end(),
+            [](const PinRecord& a, const PinRecord& b) { return a.flow < b.flow; });
+  std::sort(batch.requests.begin(), batch.requests.end(),
+            [](const RequestRecord& a, const RequestRecord& b) { return a.id < b.id; });
   return batch;
 }
 
@@ -57,9 +62,9 @@
     const bool is_owner = owner != nullptr && owner->address == state_.self() &&
                           owner->incarnation == state_.config().self.incarnation;
     if (is_owner) {
-      follow_assignment(state_.partition(id), now);
-    } else if (state_.partitions().contains(id)) {
-      cancel_if_source_keeps(state_.partition(id));
+      follow_assignment(state_.partitions().at(id), now);
+    } else if (state_.partitions().find(id) != nullptr) {
+      cancel_if_source_keeps(state_.partitions().at(id));
     }
   }
 }
@@ -169,7 +174,7 @@
 }
 
 void Handover::on_takeover_chunk(const Endpoint& from, const TakeoverChunk& chunk, Instant now) {
-  Partition& partition = state_.partition(chunk.partition);
+  Partition& partition = state_.partitions().at(chunk.partition);
   if (partition.role != PartitionRole::kAcquiring || !partition.acquisition->has_source()) {
     return;
   }
@@ -293,7 +298,7 @@
 
 void Handover::on_takeover_request(const Endpoint& from, const TakeoverRequest& request,
                                    Instant now) {
-  Partition& partition = state_.partition(request.partition);
+  Partition& partition = state_.partitions().at(request.partition);
   if (is_stale(partition, request)) {
     return;
   }
@@ -322,9 +327,9 @@
 
 void Handover::on_tick(Instant now) {
   std::vector<Partition*> acquiring;
-  for (auto& [id, partition] : state_.partitions()) {
+  for (Partition* partition : state_.partitions().used()) {
     if (partition->role == PartitionRole::kAcquiring) {
-      acquiring.push_back(partition.get());
+      acquiring.push_back(partition);
     }
     if (partition->outgoing && now - partition->outgoing->last_asked > timing::kOutgoingLifetime) {
       partition->outgoing.reset();
@@ -359,25 +364,25 @@
   if (view == nullptr) {
     return false;
   }
-  return std::all_of(state_.partitions().begin(), state_.partitions().end(),
-                     [&](const auto& entry) {
-                       const Partition& partition = *entry.second;
-                       const Member* owner = view->owner(partition.id);
-                       const bool is_owner = owner != nullptr && owner->address == state_.self();
-                       const bool copying = partition.copy_pending;
-                       return is_owner ? partition.role == PartitionRole::kOwner && !copying
-                                       : partition.role == PartitionRole::kNone;
-                     });
+  const auto& partitions = state_.partitions().used();
+  return std::all_of(partitions.begin(), partitions.end(), [&](const Partition* used) {
+    const Partition& partition = *used;
+    const Member* owner = view->owner(partition.id);
+    const bool is_owner = owner != nullptr && owner->address == state_.self();
+    const bool copying = partition.copy_pending;
+    return is_owner ? partition.role == PartitionRole::kOwner && !copying
+                    : partition.role == PartitionRole::kNone;
+  });
 }
 
 bool Handover::has_released_all(Instant now) const {
-  return std::all_of(
-      state_.partitions().begin(), state_.partitions().end(), [&](const auto& entry) {
-        const Partition& partition = *entry.second;
-        const bool asked_lately = partition.outgoing && now - partition.outgoing->last_asked <
-                                                            timing::kTakeoverSourceTimeout;
-        return partition.role == PartitionRole::kNone && !asked_lately;
-      });
+  const auto& partitions = state_.partitions().used();
+  return std::all_of(partitions.begin(), partitions.end(), [&](const Partition* used) {
+    const Partition& partition = *used;
+    const bool asked_lately =
+        partition.outgoing && now - partition.outgoing->last_asked < timing::kTakeoverSourceTimeout;
+    return partition.role == PartitionRole::kNone && !asked_lately;
+  });
 }
 
 }  // namespace gorsevalve
--- a/src/core/balancer/partition.h
+++ b/src/core/balancer/partition.h
@@ -2,8 +2,9 @@
 /// as backup, and the transfers under way.
 #pragma once
 
+#include <absl/container/btree_map.h>
+#include <absl/container/btree_set.h>
 #include <absl/container/flat_hash_map.h>
-#include <absl/container/flat_hash_set.h>
 
 #include <memory>
 #include <optional>
@@ -66,8 +67,8 @@
 
 /// Changes that the backup has not confirmed.
 struct UnconfirmedChanges {
-  absl::flat_hash_set<FlowKey> pins;
-  absl::flat_hash_set<RequestId> requests;
+  absl::btree_set<FlowKey> pins;
+  absl::btree_set<RequestId> requests;
   std::vector<RequestId> forgotten;
 
   [[nodiscard]] bool empty() const { return pins.empty() && requests.empty() && forgotten.empty(); }
@@ -95,8 +96,8 @@
   bool complete = false;
   Instant incomplete_until;
   Instant last_change;
-  absl::flat_hash_map<FlowKey, Pin> pins;
-  absl::flat_hash_map<RequestId, Request> requests;
+  absl::btree_map<FlowKey, Pin> pins;
+  absl::btree_map<RequestId, Request> requests;
 };
 
 struct Partition {
--- a/src/core/balancer/replication.cc
+++ b/src/core/balancer/replication.cc
@@ -107,11 +107,12 @@
 }
 
 void Replicator::repeat_records(Instant now) {
-  absl::erase_if(pending_, [&](const auto& entry) {
-    Partition& partition = state_.partition(entry.second.message.partition);
-    const RequestRecord* record = partition.store.find_request(entry.second.id);
-    return record == nullptr || record->state != RequestState::kRecording;
-  });
+  for (auto entry = pending_.begin(); entry != pending_.end();) {
+    Partition& partition = state_.partitions().at(entry->second.message.partition);
+    const RequestRecord* record = partition.store.find_request(entry->second.id);
+    const bool needed = record != nullptr && record->state == RequestState::kRecording;
+    entry = needed ? std::next(entry) : pending_.erase(entry);
+  }
   for (auto& [batch, pending] : pending_) {
     if (now >= pending.next_send) {
       pending.next_send = now + timing::kBatchRetry;
@@ -122,7 +123,7 @@
 
 void Replicator::on_tick(Instant now) {
   repeat_records(now);
-  for (auto& [id, partition] : state_.partitions()) {
+  for (Partition* partition : state_.partitions().used()) {
     if (partition->role != PartitionRole::kOwner) {
       continue;
     }
@@ -150,7 +151,7 @@
 }
 
 void Replicator::on_reply(const ReplicateReply& reply, Instant now) {
-  Partition& partition = state_.partition(reply.partition);
+  Partition& partition = state_.partitions().at(reply.partition);
   if (partition.role != PartitionRole::kOwner ||
       reply.members_revision != partition.owner_revision) {
     return;
@@ -172,7 +173,7 @@
 }
 
 void BackupStore::on_request(const Endpoint& from, const ReplicateRequest& request, Instant now) {
-  Partition& partition = state_.partition(request.partition);
+  Partition& partition = state_.partitions().at(request.partition);
   ReplicateReply reply{request.members_revision, request.partition, request.batch, false};
   const bool sealed =
       request.members_revision < partition.sealed_revision && !state_.faults().ignore_seal;
@@ -217,9 +218,13 @@
 }
 
 void BackupStore::drop_older(StateCopy& copy) {
-  const auto is_older = [&](const auto& entry) { return entry.second.revision < copy.revision; };
-  absl::erase_if(copy.pins, is_older);
-  absl::erase_if(copy.requests, is_older);
+  for (auto pin = copy.pins.begin(); pin != copy.pins.end();) {
+    pin = pin->second.revision < copy.revision ? copy.pins.erase(pin) : std::next(pin);
+  }
+  for (auto request = copy.requests.begin(); request != copy.requests.end();) {
+    request = request->second.revision < copy.revision ? copy.requests.erase(request)
+                                                       : std::next(request);
+  }
 }
 
 StateBatch BackupStore::content(const StateCopy& copy) {
@@ -234,11 +239,12 @@
 }
 
 void BackupStore::drop_unused(Instant now) {
-  for (auto& [id, partition] : state_.partitions()) {
+  for (Partition* partition : state_.partitions().used()) {
     if (partition->copy == nullptr) {
       continue;
     }
-    const Member* backup = state_.view() == nullptr ? nullptr : state_.view()->backup(id);
+    const Member* backup =
+        state_.view() == nullptr ? nullptr : state_.view()->backup(partition->id);
     const bool is_backup = backup != nullptr && backup->address == state_.self();
     if (!is_backup && now - partition->copy->last_change > timing::kCopyLifetime) {
       partition->copy.reset();
--- a/src/core/balancer/replication.h
+++ b/src/core/balancer/replication.h
@@ -53,7 +53,7 @@
   BalancerState& state_;
   ReplicationListener& listener_;
   std::uint64_t last_batch_ = 0;
-  absl::flat_hash_map<std::uint64_t, PendingRecord> pending_;
+  absl::btree_map<std::uint64_t, PendingRecord> pending_;
 };
 
 /// Backup side: holds the copies.
--- a/src/core/balancer/request_filters.cc
+++ b/src/core/balancer/request_filters.cc
@@ -163,7 +163,7 @@
        --lower) {
     auto& queue = target.waiting[lower];
     for (auto waiting = queue.rbegin(); waiting != queue.rend(); ++waiting) {
-      Partition& partition = state_.partition(waiting->partition);
+      Partition& partition = state_.partitions().at(waiting->partition);
       RequestRecord* record = partition.store.find_request(waiting->id);
       if (record == nullptr || record->continuation) {
         continue;
@@ -256,7 +256,7 @@
     while (!queue.empty() && state_.board().has_room(target)) {
       const WaitingRequest waiting = queue.front();
       queue.pop_front();
-      Partition& partition = state_.partition(waiting.partition);
+      Partition& partition = state_.partitions().at(waiting.partition);
       RequestRecord* record = partition.store.find_request(waiting.id);
       if (record != nullptr && record->state == RequestState::kQueued) {
         resume(partition, *record, ChainEntry::kDispatch, now);
--- /dev/null
+++ b/src/sim/balancer_node.h
@@ -0,0 +1,41 @@
+/// A balancer as the simulator drives it: the product's core, or a baseline that it is compared to.
+#pragma once
+
+#include <memory>
+
+#include "core/balancer/balancer.h"
+
+namespace gorsevalve {
+
+class BalancerNode {
+ public:
+  virtual ~BalancerNode() = default;
+  virtual void on_datagram(ByteView datagram, Instant now) = 0;
+  virtual void on_peer_message(const Endpoint& from, const PeerMessage& message, Instant now) = 0;
+  virtual void on_fleet(const FleetState& fleet, Instant now) = 0;
+  virtual void on_lease(Instant until) = 0;
+  virtual void on_target_report(const TargetReport& report, Instant now) = 0;
+  virtual void on_tick(Instant now) = 0;
+  /// See Balancer.
+  [[nodiscard]] virtual Revision revision() const = 0;
+  [[nodiscard]] virtual Revision settled_revision() const = 0;
+  [[nodiscard]] virtual bool has_released_all(Instant now) const = 0;
+  [[nodiscard]] virtual std::size_t flow_count() const = 0;
+  [[nodiscard]] virtual BalancerCounters counters() const = 0;
+};
+
+/// How balancers keep flows on their targets.
+enum class AffinityScheme : std::uint8_t {
+  /// The product's core.
+  kOwners = 0,
+  /// Each balancer for itself: a Maglev table and a local table of the flows that it has seen.
+  kMaglevLocal = 1,
+  /// As before, and each new binding is copied to every other balancer.
+  kCopyAll = 2,
+};
+
+std::unique_ptr<BalancerNode> make_balancer_node(AffinityScheme scheme,
+                                                 const BalancerConfig& config,
+                                                 BalancerOutput& output);
+
+}  // namespace gorsevalve
--- /dev/null
+++ b/src/sim/scenario.cc
@@ -0,0 +1,379 @@
+#include "sim/scenario.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace gorsevalve {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Expectations kPlanned{true, true, false, true};
+/// Planned changes on a network that loses nothing: not one request may be cut.
+constexpr Expectations kPlannedLossless{true, true, true, true};
+/// Something broke: flows may break, what was promised must still be true.
+constexpr Expectations kUnplanned{false, false, false, false};
+
+void lossless(WorldConfig& config) { config.network.loss = 0; }
+
+Duration moment(World& world) { return world.random().between(seconds(2), seconds(14)); }
+
+std::size_t any_balancer(World& world) { return world.random().below(world.balancers().size()); }
+std::size_t any_control(World& world) { return world.random().below(world.controls().size()); }
+
+/// Restarts the balancers one after the other.
+void roll(World& world, std::size_t i) {
+  if (i < world.balancers().size()) {
+    world.restart_balancer(
+        i, [&world, i] { world.events().after(seconds(1), [&world, i] { roll(world, i + 1); }); });
+  }
+}
+
+void change_weight(World& world) {
+  const std::size_t target = world.random().below(4);
+  const auto weight = static_cast<std::uint32_t>(50 + world.random().below(100));
+  world.change_settings([target, weight](Settings& settings) {
+    settings.services[1].targets[target].weight = weight;
+  });
+}
+
+void add_target(World& world) {
+  const Target target = world.spare_target(0);
+  world.change_settings(
+      [target](Settings& settings) { settings.services[0].targets.push_back(target); });
+}
+
+/// Takes a target out that has been drained before.
+void remove_target(World& world, std::size_t target) {
+  const Endpoint address = world.targets().begin()->first;
+  (void)address;
+  world.change_settings([target](Settings& settings) {
+    auto& targets = settings.services[0].targets;
+    targets.erase(targets.begin() + static_cast<std::ptrdiff_t>(target));
+  });
+}
+
+void add_service(World& world) {
+  const Target target = world.spare_target(1);
+  world.change_settings([target](Settings& settings) {
+    Service service = settings.services[1];
+    service.name = "new-" + target.name;
+    service.address.address += target.address.address % 50 + 1;
+    service.targets = {target};
+    settings.services.push_back(service);
+  });
+}
+
+using Action = void (*)(World&);
+
+void planned_restart(World& world) { world.restart_balancer(any_balancer(world)); }
+void planned_drain(World& world) { world.drain_target(0, world.random().below(15)); }
+void planned_join(World& world) { world.add_balancer(); }
+void planned_leave(World& world) { world.remove_balancer(any_balancer(world)); }
+
+void kill_balancer(World& world) {
+  world.kill_balancer(any_balancer(world), world.random().between(seconds(1), seconds(8)));
+}
+void freeze_balancer(World& world) {
+  SimBalancer& balancer = *world.balancers()[any_balancer(world)];
+  world.note("freeze " + balancer.config().name);
+  balancer.freeze(world.random().between(seconds(1), seconds(14)));
+}
+void isolate_balancer(World& world) {
+  SimBalancer& balancer = *world.balancers()[any_balancer(world)];
+  world.note("isolate " + balancer.config().name + " from control");
+  for (const auto& control : world.controls()) {
+    world.network().block(balancer.config().address, control->config().address);
+  }
+  world.events().after(world.random().between(seconds(2), seconds(16)), [&world] { world.heal(); });
+}
+void cut_zone(World& world) {
+  const int zone = static_cast<int>(world.random().below(3));
+  world.cut_zone(zone, world.random().between(seconds(2), seconds(14)));
+}
+void kill_control(World& world) {
+  world.kill_control(any_control(world), world.random().between(seconds(1), seconds(6)));
+}
+void wipe_control(World& world) {
+  world.kill_control(any_control(world), world.random().between(seconds(1), seconds(4)), true);
+}
+void isolate_leader(World& world) {
+  if (const auto leader = world.leader()) {
+    world.isolate_control(*leader, world.random().between(seconds(2), seconds(10)));
+  }
+}
+void freeze_leader(World& world) {
+  if (const auto leader = world.leader()) {
+    world.note("freeze leader");
+    world.controls()[*leader]->freeze(world.random().between(seconds(1), seconds(6)));
+  }
+}
+void fail_disk(World& world) {
+  SimControl& control = *world.controls()[any_control(world)];
+  world.note("disk of " + control.config().name + " fails");
+  control.disk().fail_after(world.random().below(4));
+  SimControl* failed = &control;
+  world.events().after(seconds(4), [&world, failed] {
+    if (!failed->is_up()) {
+      failed->disk().mend();
+      failed->start();
+    }
+  });
+}
+void kill_target(World& world) {
+  auto target =
+      std::next(world.targets().begin(),
+                static_cast<std::ptrdiff_t>(world.random().below(world.targets().size())));
+  SimTarget* killed = target->second.get();
+  world.note("kill target " + to_string(target->first));
+  killed->kill();
+  world.events().after(seconds(3), [killed] { killed->start(); });
+}
+void lose_datagrams(World& world) {
+  world.note("lossy network");
+  world.network().set_faults(0.1, 0.05);
+  world.events().after(seconds(5), [&world] { world.network().set_faults(0.002, 0.002); });
+}
+
+void schedule(World& world, Action action, int times) {
+  for (int i = 0; i < times; ++i) {
+    world.at(moment(world), [&world, action] { action(world); });
+  }
+}
+
+/// Operators that race each other with equal numbers of submissions, over lossy requests.
+void race_operators(World& world, int operators, int changes) {
+  for (int i = 0; i < operators; ++i) {
+    SimOperator* one = &world.add_operator(0.3);
+    for (int change = 0; change < changes; ++change) {
+      world.at(moment(world), [&world, one] {
+        const auto weight = static_cast<std::uint32_t>(50 + world.random().below(100));
+        one->change(
+            [weight](Settings& settings) { settings.services[0].targets[1].weight = weight; });
+      });
+    }
+  }
+}
+
+std::vector<Scenario> planned_scenarios() {
+  return {
+      {"steady", "nothing changes", lossless, [](World&) {}, kPlannedLossless},
+      {"balancer_joins", "two balancers join", lossless,
+       [](World& world) { schedule(world, planned_join, 2); }, kPlannedLossless},
+      {"balancer_leaves", "a balancer leaves for good", lossless,
+       [](World& world) { schedule(world, planned_leave, 1); }, kPlannedLossless},
+      {"rolling_restart", "all balancers restart one after the other",
+       [](WorldConfig& config) {
+         lossless(config);
+         config.load_time = seconds(50);
+       },
+       [](World& world) { world.at(seconds(2), [&world] { roll(world, 0); }); }, kPlannedLossless},
+      {"target_added", "targets come in cold", lossless,
+       [](World& world) { schedule(world, add_target, 2); }, kPlannedLossless},
+      {"target_drained", "a target drains", lossless,
+       [](World& world) { schedule(world, planned_drain, 2); }, kPlannedLossless},
+      {"target_removed",
+       "a target is taken out without a drain; its feeds move",
+       [](WorldConfig& /*config*/) {},
+       [](World& world) { world.at(moment(world), [&world] { remove_target(world, 3); }); },
+       {true, false, false, true}},
+      {"settings_changed", "weights change and services come in", lossless,
+       [](World& world) {
+         schedule(world, change_weight, 4);
+         schedule(world, add_service, 2);
+       },
+       kPlannedLossless},
+      {"planned_together", "restart, drain, join and settings at once", lossless,
+       [](World& world) {
+         schedule(world, planned_restart, 2);
+         schedule(world, planned_drain, 1);
+         schedule(world, planned_join, 1);
+         schedule(world, change_weight, 2);
+         schedule(world, add_target, 1);
+       },
+       kPlannedLossless},
+      {"planned_lossy", "the same on a network that loses datagrams",
+       [](WorldConfig& config) { config.network.loss = 0.01; },
+       [](World& world) {
+         schedule(world, planned_restart, 2);
+         schedule(world, planned_drain, 1);
+         schedule(world, planned_join, 1);
+         schedule(world, change_weight, 2);
+       },
+       kPlanned},
+  };
+}
+
+std::vector<Scenario> balancer_failures() {
+  const auto plain = [](WorldConfig&) {};
+  return {
+      {"balancer_killed", "a balancer dies and comes back", plain,
+       [](World& world) { schedule(world, kill_balancer, 1); }, kUnplanned},
+      {"two_balancers_killed", "two balancers die at once, perhaps owner and backup", plain,
+       [](World& world) {
+         world.at(moment(world), [&world] {
+           kill_balancer(world);
+           kill_balancer(world);
+         });
+       },
+       kUnplanned},
+      {"balancers_killed_often", "balancers die again and again", plain,
+       [](World& world) { schedule(world, kill_balancer, 6); }, kUnplanned},
+      {"balancer_frozen", "balancers freeze and wake believing that they still own", plain,
+       [](World& world) { schedule(world, freeze_balancer, 2); }, kUnplanned},
+      {"balancer_isolated", "a balancer loses the control replicas in silence", plain,
+       [](World& world) { schedule(world, isolate_balancer, 1); }, kUnplanned},
+      {"zone_cut", "a zone is cut off and comes back", plain,
+       [](World& world) { schedule(world, cut_zone, 1); }, kUnplanned},
+      {"target_killed", "targets die and come back cold", plain,
+       [](World& world) { schedule(world, kill_target, 2); }, kUnplanned},
+      {"lossy_network", "a tenth of all datagrams is lost", plain,
+       [](World& world) { schedule(world, lose_datagrams, 2); }, kUnplanned},
+      {"overload", "more load than the targets carry",
+       [](WorldConfig& config) {
+         config.callers = {20, 60, 60, 20};
+         config.service_time = milliseconds(60);
+         config.pause = milliseconds(20);
+         config.queue_limit = 4;
+         config.first_targets = 4;
+         config.second_targets = 2;
+       },
+       [](World&) {}, kUnplanned},
+      {"misleading_reports", "health endpoints show no load",
+       [](WorldConfig& config) { config.misleading_reports = true; },
+       [](World& world) { schedule(world, planned_drain, 1); }, kPlanned},
+      {"failures_in_changes", "planned changes and failures of balancers together", plain,
+       [](World& world) {
+         schedule(world, planned_restart, 2);
+         schedule(world, kill_balancer, 2);
+         schedule(world, freeze_balancer, 1);
+         schedule(world, change_weight, 2);
+         schedule(world, planned_drain, 1);
+       },
+       kUnplanned},
+  };
+}
+
+std::vector<Scenario> control_failures() {
+  const auto plain = [](WorldConfig&) {};
+  const auto five = [](WorldConfig& config) { config.control_replicas = 5; };
+  return {
+      {"leader_isolated", "the leader is cut off in silence while operators race", plain,
+       [](World& world) {
+         schedule(world, isolate_leader, 2);
+         race_operators(world, 2, 3);
+       },
+       kUnplanned},
+      {"leader_frozen", "the leader freezes and wakes as leader", plain,
+       [](World& world) {
+         schedule(world, freeze_leader, 2);
+         race_operators(world, 2, 3);
+       },
+       kUnplanned},
+      {"racing_operators",
+       "three operators race, requests and answers are lost",
+       plain,
+       [](World& world) { race_operators(world, 3, 4); },
+       {false, false, false, true}},
+      {"controls_killed", "control replicas lose power again and again", plain,
+       [](World& world) {
+         schedule(world, kill_control, 6);
+         race_operators(world, 2, 3);
+       },
+       kUnplanned},
+      {"all_controls_restarted", "all control replicas lose power at once", plain,
+       [](World& world) {
+         world.at(moment(world), [&world] {
+           for (std::size_t i = 0; i < world.controls().size(); ++i) {
+             world.kill_control(i, world.random().between(seconds(1), seconds(3)));
+           }
+         });
+         race_operators(world, 2, 2);
+       },
+       kUnplanned},
+      {"disk_lost", "a control replica comes back with an empty disk", plain,
+       [](World& world) {
+         schedule(world, wipe_control, 1);
+         race_operators(world, 2, 3);
+       },
+       kUnplanned},
+      {"second_lost_after_repair", "a second replica is lost right after the first was replaced",
+       plain,
+       [](World& world) {
+         world.at(seconds(3), [&world] {
+           world.kill_control(0, seconds(1), true);
+           const Duration soon = world.random().between(seconds(1), seconds(4));
+           world.events().after(soon, [&world] { world.kill_control(1, seconds(2)); });
+         });
+         race_operators(world, 2, 3);
+       },
+       kUnplanned},
+      {"disk_fails", "writes and syncs of control replicas fail", plain,
+       [](World& world) {
+         schedule(world, fail_disk, 2);
+         race_operators(world, 2, 3);
+       },
+       kUnplanned},
+      {"region_cut", "two of three zones lose the third; five replicas", five,
+       [](World& world) {
+         world.at(seconds(3), [&world] {
+           world.note("cut region");
+           world.network().cut_group({0});
+         });
+         world.at(seconds(18), [&world] { world.heal(); });
+         race_operators(world, 2, 2);
+       },
+       kUnplanned},
+      {"everything", "all failures and changes at any moment",
+       [](WorldConfig& config) { config.load_time = seconds(40); },
+       [](World& world) {
+         const std::vector<Action> actions = {
+             planned_restart, planned_drain, planned_join,     change_weight,  kill_balancer,
+             freeze_balancer, cut_zone,      isolate_balancer, kill_control,   wipe_control,
+             isolate_leader,  freeze_leader, kill_target,      lose_datagrams, add_target};
+         for (int i = 0; i < 8; ++i) {
+           schedule(world, actions[world.random().below(actions.size())], 1);
+         }
+         race_operators(world, 2, 3);
+       },
+       kUnplanned},
+  };
+}
+
+std::vector<Scenario> all_scenarios() {
+  std::vector<Scenario> all = planned_scenarios();
+  for (const auto& group : {balancer_failures(), control_failures()}) {
+    all.insert(all.end(), group.begin(), group.end());
+  }
+  return all;
+}
+
+}  // namespace
+
+std::span<const Scenario> scenarios() {
+  static const std::vector<Scenario> kAll = all_scenarios();
+  return kAll;
+}
+
+const Scenario* find_scenario(std::string_view name) {
+  const auto all = scenarios();
+  const auto found = std::find_if(all.begin(), all.end(),
+                                  [&](const Scenario& scenario) { return scenario.name == name; });
+  return found == all.end() ? nullptr : &*found;
+}
+
+RunResult run_scenario(const Scenario& scenario, const RunOptions& options) {
+  WorldConfig config;
+  config.seed = options.seed;
+  config.prints_trace = options.prints_trace;
+  config.scheme = options.scheme;
+  config.faults = options.faults;
+  scenario.configure(config);
+  World world(config);
+  world.start();
+  scenario.script(world);
+  return world.run(scenario.expectations);
+}
+
+}  // namespace gorsevalve
--- /dev/null
+++ b/src/sim/scenario.h
@@ -0,0 +1,38 @@
+/// The scenarios of the simulator: each names what fails or changes, and what must hold then.
+#pragma once
+
+#include <functional>
+#include <span>
+#include <string_view>
+
+#include "sim/world.h"
+
+namespace gorsevalve {
+
+struct Scenario {
+  std::string_view name;
+  std::string_view description;
+  /// Adapts the deployment.
+  std::function<void(WorldConfig&)> configure;
+  /// Schedules what happens during the load.
+  std::function<void(World&)> script;
+  Expectations expectations;
+};
+
+/// All scenarios, in a fixed order.
+std::span<const Scenario> scenarios();
+
+/// The scenario with this name, or nullptr.
+const Scenario* find_scenario(std::string_view name);
+
+/// Options of one run.
+struct RunOptions {
+  std::uint64_t seed = 1;
+  bool prints_trace = false;
+  AffinityScheme scheme = AffinityScheme::kOwners;
+  SimFaults faults;
+};
+
+RunResult run_scenario(const Scenario& scenario, const RunOptions& options);
+
+}  // namespace gorsevalve
--- /dev/null
+++ b/src/sim/sim_balancer.cc
@@ -0,0 +1,129 @@
+#include "sim/sim_balancer.h"
+
+namespace gorsevalve {
+namespace {
+
+constexpr Duration kPollInterval = std::chrono::milliseconds(500);
+/// As in the program: relays this long what the fabric still sends after the handover.
+constexpr Duration kLinger = std::chrono::seconds(3);
+
+}  // namespace
+
+SimBalancer::SimBalancer(SimContext context, SimBalancerConfig config, Poll poll)
+    : SimProcess(context), config_(std::move(config)), poll_(std::move(poll)) {}
+
+void SimBalancer::start() {
+  come_up();
+  leaving_ = false;
+  may_stop_at_.reset();
+  forced_at_.clear();
+  Member self;
+  self.name = config_.name;
+  self.zone = config_.zone;
+  self.address = config_.address;
+  self.incarnation = context().random.next();
+  node_ = make_balancer_node(config_.scheme, {self, config_.faults},
+                             static_cast<BalancerOutput&>(*this));
+  control_ = std::make_unique<ControlClient>(self, config_.control, stored_,
+                                             static_cast<ControlClientOutput&>(*this));
+  if (stored_.revision > 0) {
+    node_->on_fleet(stored_, now());
+  }
+  run_every(Balancer::kTickInterval, [this] { on_tick(); });
+  run_every(kPollInterval, [this] { poll_targets(); });
+}
+
+void SimBalancer::kill() {
+  if (is_up()) {
+    past_counters_.push_back(node_->counters());
+    go_down();
+  }
+}
+
+void SimBalancer::leave(std::function<void()> when_stopped) {
+  leaving_ = true;
+  when_stopped_ = std::move(when_stopped);
+  control_->leave();
+}
+
+BalancerCounters SimBalancer::total_counters() const {
+  BalancerCounters total = node_ == nullptr ? BalancerCounters{} : node_->counters();
+  for (const auto& past : past_counters_) {
+    total.datagrams_in += past.datagrams_in;
+    total.datagrams_relayed += past.datagrams_relayed;
+    total.requests += past.requests;
+  }
+  return total;
+}
+
+void SimBalancer::handle(const SimMessage& message) {
+  if (const auto* datagram = std::get_if<Bytes>(&message.body)) {
+    node_->on_datagram(*datagram, now());
+  } else if (const auto* peer = std::get_if<PeerMessage>(&message.body)) {
+    node_->on_peer_message(message.from, *peer, now());
+  } else if (const auto* control = std::get_if<NodeMessage>(&message.body)) {
+    control_->on_message(message.from, *control, now());
+  }
+}
+
+void SimBalancer::on_tick() {
+  node_->on_tick(now());
+  control_->on_tick(node_->settled_revision(), now());
+  if (leaving_ && !may_stop_at_ && control_->may_stop() && node_->has_released_all(now())) {
+    may_stop_at_ = now() + kLinger;
+  }
+  if (may_stop_at_ && now() >= *may_stop_at_) {
+    kill();
+    when_stopped_();
+  }
+}
+
+void SimBalancer::poll_targets() {
+  for (const auto& service : control_->fleet().settings.services) {
+    for (const auto& target : service.targets) {
+      TargetReport failed;
+      failed.target = target.address;
+      failed.healthy = false;
+      const bool reachable = context().network.is_reachable(config_.address, target.address);
+      const auto report = reachable ? poll_(target.address) : std::nullopt;
+      node_->on_target_report(report.value_or(failed), now());
+    }
+  }
+}
+
+void SimBalancer::send_to_caller(const FlowKey& flow, ByteView message) {
+  context().network.send_datagram(config_.address, flow.caller,
+                                  encode_proxy_datagram({flow, {}, {}, {}}, message),
+                                  TrafficKind::kData);
+}
+
+void SimBalancer::send_to_target(const Endpoint& target, const ProxyHeader& header,
+                                 ByteView message) {
+  context().network.send_datagram(config_.address, target, encode_proxy_datagram(header, message),
+                                  TrafficKind::kData);
+}
+
+void SimBalancer::relay(const Endpoint& peer, const ProxyHeader& header, ByteView payload) {
+  context().network.send_datagram(config_.address, peer, encode_proxy_datagram(header, payload),
+                                  TrafficKind::kRelay);
+}
+
+void SimBalancer::send_peer(const Endpoint& peer, const PeerMessage& message) {
+  context().network.send_peer(config_.address, peer, message);
+}
+
+void SimBalancer::send_control(const Endpoint& replica, const NodeMessage& message) {
+  context().network.send_node(config_.address, replica, message);
+}
+
+void SimBalancer::on_fleet(const FleetState& fleet, Instant now) {
+  context().checks.on_revision(config_.name, stored_.revision, fleet.revision);
+  context().checks.on_state(config_.name, fleet.revision, fleet_digest(fleet));
+  stored_ = fleet;
+  forced_at_.emplace(fleet.settings_revision, now);
+  node_->on_fleet(fleet, now);
+}
+
+void SimBalancer::on_lease(Instant until) { node_->on_lease(until); }
+
+}  // namespace gorsevalve
--- /dev/null
+++ b/src/sim/sim_balancer.h
@@ -0,0 +1,70 @@
+/// A balancer process in the simulator: the core, its session with the control replicas, the copy
+/// of the fleet state on its disk, and its polls of the targets.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+
+#include "core/balancer/control_client.h"
+#include "sim/balancer_node.h"
+#include "sim/sim_process.h"
+
+namespace gorsevalve {
+
+struct SimBalancerConfig {
+  std::string name;
+  std::string zone;
+  Endpoint address;
+  std::vector<Endpoint> control;
+  BalancerFaults faults;
+  AffinityScheme scheme = AffinityScheme::kOwners;
+};
+
+class SimBalancer : public SimProcess, private BalancerOutput, private ControlClientOutput {
+ public:
+  /// Gives what a target's health endpoint says, or nothing when it does not answer.
+  using Poll = std::function<std::optional<TargetReport>(const Endpoint& target)>;
+
+  SimBalancer(SimContext context, SimBalancerConfig config, Poll poll);
+
+  void start();
+  void kill();
+  /// Begins a planned stop; `when_stopped` runs at its end.
+  void leave(std::function<void()> when_stopped);
+
+  [[nodiscard]] const SimBalancerConfig& config() const { return config_; }
+  [[nodiscard]] const BalancerNode* node() const { return node_.get(); }
+  [[nodiscard]] const FleetState& fleet() const { return control_->fleet(); }
+  /// When each settings revision came into force here in this life.
+  [[nodiscard]] const std::map<Revision, Instant>& forced_at() const { return forced_at_; }
+  /// Counters of all lives.
+  [[nodiscard]] BalancerCounters total_counters() const;
+
+ private:
+  void handle(const SimMessage& message) override;
+  void on_tick();
+  void poll_targets();
+
+  void send_to_caller(const FlowKey& flow, ByteView message) override;
+  void send_to_target(const Endpoint& target, const ProxyHeader& header, ByteView message) override;
+  void relay(const Endpoint& peer, const ProxyHeader& header, ByteView payload) override;
+  void send_peer(const Endpoint& peer, const PeerMessage& message) override;
+  void send_control(const Endpoint& replica, const NodeMessage& message) override;
+  void on_fleet(const FleetState& fleet, Instant now) override;
+  void on_lease(Instant until) override;
+
+  SimBalancerConfig config_;
+  Poll poll_;
+  std::unique_ptr<BalancerNode> node_;
+  std::unique_ptr<ControlClient> control_;
+  /// On disk: survives kills.
+  FleetState stored_;
+  bool leaving_ = false;
+  std::optional<Instant> may_stop_at_;
+  std::function<void()> when_stopped_;
+  std::map<Revision, Instant> forced_at_;
+  std::vector<BalancerCounters> past_counters_;
+};
+
+}  // namespace gorsevalve
--- /dev/null
+++ b/src/sim/sim_control.h
@@ -0,0 +1,62 @@
+/// A control replica in the simulator, with its disk.
+#pragma once
+
+#include <memory>
+
+#include "core/control/control_node.h"
+#include "sim/sim_disk.h"
+#include "sim/sim_process.h"
+#include "storage/log_store.h"
+
+namespace gorsevalve {
+
+struct SimControlConfig {
+  std::string name;
+  Endpoint address;
+  std::vector<Endpoint> replicas;
+  std::uint32_t partitions = kDefaultPartitions;
+  ReplicaFaults replica_faults;
+  ControlFaults control_faults;
+};
+
+class SimControl : public SimProcess, private ControlOutput, private ReplicaStorage {
+ public:
+  SimControl(SimContext context, SimControlConfig config);
+
+  /// Writes the identity of a founding replica.
+  void initialize();
+  void start();
+  /// The machine loses power.
+  void kill();
+  /// The disk is replaced by an empty one. The process must be down.
+  void wipe();
+  SimDisk& disk() { return disk_; }
+
+  [[nodiscard]] const SimControlConfig& config() const { return config_; }
+  /// The core; only while the process is up.
+  [[nodiscard]] ControlNode& node() { return *node_; }
+  [[nodiscard]] bool acts_as_leader() const;
+  /// Why the last start failed; empty when it did not.
+  [[nodiscard]] const std::string& start_error() const { return start_error_; }
+
+ private:
+  void handle(const SimMessage& message) override;
+  void on_tick();
+  void send(const Endpoint& to, const ReplicaMessage& message) override;
+  void send_node(const Endpoint& to, const NodeMessage& message) override;
+  [[nodiscard]] bool append(const LogFrame& frame) override;
+  [[nodiscard]] bool replace_with_snapshot(const Snapshot& snapshot,
+                                           const LogFrame& frame) override;
+
+  SimControlConfig config_;
+  SimDisk disk_;
+  std::unique_ptr<LogStore> store_;
+  std::unique_ptr<ControlNode> node_;
+  std::string start_error_;
+  Revision last_revision_ = 0;
+};
+
+/// The replicas that found a cluster, as the programs derive them.
+ReplicaSet founding_set(const std::vector<Endpoint>& addresses);
+
+}  // namespace gorsevalve
--- /dev/null
+++ b/src/sim/sim_fabric.cc
@@ -0,0 +1,24 @@
+#include "sim/sim_fabric.h"
+
+#include <vector>
+
+namespace gorsevalve {
+
+void SimFabric::announce(const Endpoint& balancer, bool live) {
+  events_.after(kLag, [this, balancer, live] { listed_[balancer] = live; });
+}
+
+std::optional<Endpoint> SimFabric::pick() {
+  std::vector<Endpoint> live;
+  for (const auto& [balancer, is_live] : listed_) {
+    if (is_live) {
+      live.push_back(balancer);
+    }
+  }
+  if (live.empty()) {
+    return std::nullopt;
+  }
+  return live[random_.below(live.size())];
+}
+
+}  // namespace gorsevalve
--- /dev/null
+++ b/src/sim/sim_main.cc
@@ -0,0 +1,208 @@
+/// gorsevalve-sim: runs the product's core in a simulated deployment on a virtual clock.
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+
+#include <atomic>
+#include <cstdio>
+#include <mutex>
+#include <thread>
+
+#include "programs/program.h"
+#include "sim/scenario.h"
+
+ABSL_FLAG(std::string, scenario, "all", "name of the scenario, or all");
+ABSL_FLAG(std::uint64_t, first_seed, 1, "first seed");
+ABSL_FLAG(std::uint64_t, seeds, 1, "number of seeds");
+ABSL_FLAG(std::uint64_t, seed, 0, "the seed to replay");
+ABSL_FLAG(bool, trace, false, "print everything that happens");
+ABSL_FLAG(std::int32_t, jobs, 1, "seeds that run at once");
+ABSL_FLAG(std::string, scheme, "owners", "owners, maglev or copy: how flows are kept");
+
+namespace gorsevalve {
+namespace {
+
+/// Sums over the seeds of one scenario.
+struct Summary {
+  std::uint64_t runs = 0;
+  std::uint64_t failed = 0;
+  std::uint64_t violations = 0;
+  CallerStats callers;
+  std::vector<double> imbalance;
+  Duration longest_force{};
+  std::uint64_t datagrams = 0;
+  std::uint64_t relayed = 0;
+  double peer_octets = 0;
+  double node_octets = 0;
+};
+
+void add(Summary& summary, const RunResult& result) {
+  ++summary.runs;
+  summary.failed += result.violations.empty() ? 0 : 1;
+  summary.violations += result.violations.size();
+  summary.callers.add(result.callers);
+  summary.callers.updates.clear();
+  summary.callers.latencies.clear();
+  summary.imbalance.insert(summary.imbalance.end(), result.imbalance.begin(),
+                           result.imbalance.end());
+  summary.longest_force = std::max(summary.longest_force, result.longest_force);
+  summary.datagrams += result.datagrams;
+  summary.relayed += result.relayed;
+  summary.peer_octets += result.peer_octets_per_second;
+  summary.node_octets += result.node_octets_per_second;
+}
+
+void print_failure(const Scenario& scenario, std::uint64_t seed, const RunResult& result) {
+  const Violation& first = result.violations.front();
+  std::printf("FAILED scenario=%s seed=%llu violations=%zu first=%s: %s\n",
+              std::string(scenario.name).c_str(), static_cast<unsigned long long>(seed),
+              result.violations.size(), std::string(to_string(first.invariant)).c_str(),
+              first.detail.c_str());
+}
+
+void print_summary(const Scenario& scenario, const Summary& summary) {
+  const auto runs = static_cast<double>(summary.runs);
+  const double per_hundred = summary.datagrams == 0 ? 0
+                                                    : 100.0 * static_cast<double>(summary.relayed) /
+                                                          static_cast<double>(summary.datagrams);
+  std::printf(
+      "%-26s seeds=%llu failed=%llu requests=%llu answers=%llu broken=%llu feed_moves=%llu "
+      "not_run=%llu may_have_run=%llu timeouts=%llu force_max_ms=%lld relayed=%.0f%% "
+      "peer_Bps=%.0f node_Bps=%.0f\n",
+      std::string(scenario.name).c_str(), static_cast<unsigned long long>(summary.runs),
+      static_cast<unsigned long long>(summary.failed),
+      static_cast<unsigned long long>(summary.callers.requests),
+      static_cast<unsigned long long>(summary.callers.answers),
+      static_cast<unsigned long long>(summary.callers.broken_flows),
+      static_cast<unsigned long long>(summary.callers.feed_moves),
+      static_cast<unsigned long long>(summary.callers.verdicts_not_run),
+      static_cast<unsigned long long>(summary.callers.verdicts_may_have_run),
+      static_cast<unsigned long long>(summary.callers.timeouts),
+      static_cast<long long>(summary.longest_force.count() / 1000), per_hundred,
+      summary.peer_octets / runs, summary.node_octets / runs);
+  std::fflush(stdout);
+}
+
+AffinityScheme read_scheme() {
+  const std::string name = absl::GetFlag(FLAGS_scheme);
+  if (name == "maglev") {
+    return AffinityScheme::kMaglevLocal;
+  }
+  if (name == "copy") {
+    return AffinityScheme::kCopyAll;
+  }
+  if (name != "owners") {
+    std::exit(fail("--scheme must be owners, maglev or copy", kExitUsage));
+  }
+  return AffinityScheme::kOwners;
+}
+
+/// Runs a scenario over a range of seeds on several threads; every run is a world of its own.
+Summary run_seeds(const Scenario& scenario, std::uint64_t first, std::uint64_t count) {
+  RunOptions options;
+  options.prints_trace = absl::GetFlag(FLAGS_trace);
+  options.scheme = read_scheme();
+  std::atomic<std::uint64_t> next{0};
+  std::mutex mutex;
+  Summary summary;
+  const auto work = [&] {
+    for (std::uint64_t i = next++; i < count; i = next++) {
+      RunOptions own = options;
+      own.seed = first + i;
+      const RunResult result = run_scenario(scenario, own);
+      const std::lock_guard lock(mutex);
+      add(summary, result);
+      if (!result.violations.empty()) {
+        print_failure(scenario, own.seed, result);
+      }
+    }
+  };
+  std::vector<std::thread> threads;
+  for (int i = 0; i < absl::GetFlag(FLAGS_jobs); ++i) {
+    threads.emplace_back(work);
+  }
+  for (auto& thread : threads) {
+    thread.join();
+  }
+  return summary;
+}
+
+int run_all(std::uint64_t first, std::uint64_t count) {
+  const std::string wanted = absl::GetFlag(FLAGS_scenario);
+  if (wanted != "all" && find_scenario(wanted) == nullptr) {
+    return fail("--scenario=" + wanted + ": unknown; see gorsevalve-sim list", kExitUsage);
+  }
+  std::uint64_t runs = 0;
+  std::uint64_t failed = 0;
+  std::uint64_t violations = 0;
+  for (const auto& scenario : scenarios()) {
+    if (wanted != "all" && wanted != scenario.name) {
+      continue;
+    }
+    const Summary summary = run_seeds(scenario, first, count);
+    print_summary(scenario, summary);
+    runs += summary.runs;
+    failed += summary.failed;
+    violations += summary.violations;
+  }
+  std::printf("summary: runs=%llu failed=%llu violations=%llu first_seed=%llu seeds=%llu\n",
+              static_cast<unsigned long long>(runs), static_cast<unsigned long long>(failed),
+              static_cast<unsigned long long>(violations), static_cast<unsigned long long>(first),
+              static_cast<unsigned long long>(count));
+  return failed == 0 ? kExitOk : kExitFailure;
+}
+
+int list() {
+  for (const auto& scenario : scenarios()) {
+    std::printf("%-26s %s\n", std::string(scenario.name).c_str(),
+                std::string(scenario.description).c_str());
+  }
+  return kExitOk;
+}
+
+int replay() {
+  const std::string name = absl::GetFlag(FLAGS_scenario);
+  const Scenario* scenario = find_scenario(name);
+  if (scenario == nullptr) {
+    return fail("--scenario=" + name + ": name the scenario to replay", kExitUsage);
+  }
+  RunOptions options;
+  options.seed = absl::GetFlag(FLAGS_seed);
+  options.prints_trace = absl::GetFlag(FLAGS_trace);
+  options.scheme = read_scheme();
+  const RunResult result = run_scenario(*scenario, options);
+  for (const auto& violation : result.violations) {
+    std::printf("VIOLATION %s: %s\n", std::string(to_string(violation.invariant)).c_str(),
+                violation.detail.c_str());
+  }
+  std::printf("seed=%llu events=%llu trace_hash=%016llx violations=%zu\n",
+              static_cast<unsigned long long>(options.seed),
+              static_cast<unsigned long long>(result.events),
+              static_cast<unsigned long long>(result.trace_hash), result.violations.size());
+  return result.violations.empty() ? kExitOk : kExitFailure;
+}
+
+int run(const std::vector<char*>& words) {
+  const std::string command = words.size() > 1 ? words[1] : "";
+  if (command == "run") {
+    return run_all(absl::GetFlag(FLAGS_first_seed), absl::GetFlag(FLAGS_seeds));
+  }
+  if (command == "list") {
+    return list();
+  }
+  if (command == "replay") {
+    return replay();
+  }
+  return fail("usage: gorsevalve-sim run|list|replay [flags]", kExitUsage);
+}
+
+}  // namespace
+}  // namespace gorsevalve
+
+int main(int argc, char** argv) {
+  absl::SetProgramUsageMessage(
+      "gorsevalve-sim run --scenario=NAME|all --first_seed=N --seeds=K [--jobs=J]\n"
+      "gorsevalve-sim list\n"
+      "gorsevalve-sim replay --scenario=NAME --seed=N [--trace]");
+  return gorsevalve::run(absl::ParseCommandLine(argc, argv));
+}
--- /dev/null
+++ b/src/sim/sim_network.cc
@@ -0,0 +1,122 @@
+#include "sim/sim_network.h"
+
+#include <algorithm>
+
+#include "codec/archive.h"
+
+namespace gorsevalve {
+namespace {
+
+/// Envelope (52), TCP/IP or UDP/IP headers (40 or 28), and the length of a frame (4).
+constexpr std::size_t kStreamOverhead = 52 + 40 + 4;
+constexpr std::size_t kPeerOverhead = 52 + 28;
+constexpr std::size_t kDatagramOverhead = 28;
+constexpr int kOutside = -1;
+
+template <typename Variant>
+std::size_t encoded_size(const Variant& message) {
+  return std::visit([](const auto& body) { return encode_archive(body).size(); }, message);
+}
+
+std::pair<std::uint32_t, std::uint32_t> ordered(const Endpoint& a, const Endpoint& b) {
+  return std::minmax(a.address, b.address);
+}
+
+}  // namespace
+
+int SimNetwork::zone_of(const Endpoint& process) const {
+  const auto found = zones_.find(process.address);
+  return found == zones_.end() ? kOutside : found->second;
+}
+
+void SimNetwork::block(const Endpoint& a, const Endpoint& b) { blocked_.insert(ordered(a, b)); }
+
+void SimNetwork::heal() {
+  cut_zones_.clear();
+  cut_group_.clear();
+  isolated_.clear();
+  blocked_.clear();
+}
+
+bool SimNetwork::is_reachable(const Endpoint& a, const Endpoint& b) const {
+  if (a.address == b.address) {
+    return true;
+  }
+  if (isolated_.contains(a.address) || isolated_.contains(b.address) ||
+      blocked_.contains(ordered(a, b))) {
+    return false;
+  }
+  const int zone_a = zone_of(a);
+  const int zone_b = zone_of(b);
+  if (zone_a == zone_b || zone_a == kOutside || zone_b == kOutside) {
+    return true;
+  }
+  const bool group_cut = cut_group_.contains(zone_a) != cut_group_.contains(zone_b);
+  return !cut_zones_.contains(zone_a) && !cut_zones_.contains(zone_b) && !group_cut;
+}
+
+Duration SimNetwork::delay(const Endpoint& from, const Endpoint& to) {
+  const bool local = zone_of(from) == zone_of(to);
+  const Duration base = local ? config_.local_delay : config_.zone_delay;
+  return base + random_.between(Duration::zero(), config_.jitter);
+}
+
+void SimNetwork::schedule(const Endpoint& to, Duration delay, SimMessage message) {
+  events_.after(delay, [this, to, message = std::move(message)] {
+    if (is_reachable(message.from, to)) {
+      receiver_.deliver(to, message);
+    }
+  });
+}
+
+void SimNetwork::send_datagram(const Endpoint& from, const Endpoint& to, Bytes datagram,
+                               TrafficKind kind) {
+  meters_[from][static_cast<std::size_t>(kind)] += datagram.size() + kDatagramOverhead;
+  trace_.add("datagram", events_.now(), from, to, datagram);
+  if (!is_reachable(from, to) || random_.chance(config_.loss)) {
+    return;
+  }
+  const bool doubled = random_.chance(config_.duplication);
+  if (doubled) {
+    schedule(to, delay(from, to) + delay(from, to), {from, datagram});
+  }
+  schedule(to, delay(from, to), {from, std::move(datagram)});
+}
+
+void SimNetwork::send_peer(const Endpoint& from, const Endpoint& to, const PeerMessage& message) {
+  const std::size_t size = encoded_size(message);
+  meters_[from][static_cast<std::size_t>(TrafficKind::kPeer)] += size + kPeerOverhead;
+  trace_.add("peer", events_.now(), from, to, size);
+  if (!is_reachable(from, to) || random_.chance(config_.loss)) {
+    return;
+  }
+  if (random_.chance(config_.duplication)) {
+    schedule(to, delay(from, to) + delay(from, to), {from, message});
+  }
+  schedule(to, delay(from, to), {from, message});
+}
+
+void SimNetwork::send_node(const Endpoint& from, const Endpoint& to, const NodeMessage& message) {
+  send_stream(from, to, {from, message}, encoded_size(message), TrafficKind::kNode);
+}
+
+void SimNetwork::send_replica(const Endpoint& from, const Endpoint& to,
+                              const ReplicaMessage& message) {
+  constexpr std::size_t kSenderAndTerm = 16;
+  send_stream(from, to, {from, message}, encoded_size(message.body) + kSenderAndTerm,
+              TrafficKind::kReplica);
+}
+
+void SimNetwork::send_stream(const Endpoint& from, const Endpoint& to, SimMessage message,
+                             std::size_t size, TrafficKind kind) {
+  meters_[from][static_cast<std::size_t>(kind)] += size + kStreamOverhead;
+  trace_.add(kind == TrafficKind::kNode ? "node" : "replica", events_.now(), from, to, size);
+  if (!is_reachable(from, to) || random_.chance(config_.reset)) {
+    return;
+  }
+  Instant& last = streams_[{from, to}];
+  last = std::max(last + Duration(1), events_.now() + delay(from, to));
+  schedule(to, last - events_.now(), std::move(message));
+}
+
+}  // namespace gorsevalve
--- /dev/null
+++ b/src/sim/sim_network.h
@@ -0,0 +1,110 @@
+/// Seeded network between simulated processes: delay, jitter, loss, duplication, reordering, cuts.
+/// Datagrams may be lost, doubled and overtaken; streams keep their order and lose messages only
+/// when a connection breaks.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <variant>
+
+#include "core/balancer/peer_messages.h"
+#include "core/control/node_messages.h"
+#include "core/control/replica_messages.h"
+#include "sim/event_queue.h"
+#include "sim/sim_random.h"
+#include "sim/trace.h"
+
+namespace gorsevalve {
+
+struct NetworkConfig {
+  Duration zone_delay = std::chrono::microseconds(1500);
+  Duration local_delay = std::chrono::microseconds(150);
+  /// Up to this much is added to each delay; larger than the gap between messages, so they cross.
+  Duration jitter = std::chrono::microseconds(800);
+  /// Shares of datagrams.
+  double loss = 0.002;
+  double duplication = 0.002;
+  /// Share of stream messages at which the connection breaks.
+  double reset = 0.0002;
+};
+
+/// A message on the way.
+struct SimMessage {
+  Endpoint from;
+  std::variant<Bytes, PeerMessage, NodeMessage, ReplicaMessage> body;
+};
+
+/// What the meter tells apart.
+enum class TrafficKind : std::uint8_t { kData = 0, kRelay = 1, kPeer = 2, kNode = 3, kReplica = 4 };
+constexpr std::size_t kTrafficKinds = 5;
+
+/// Octets sent by one process, by kind, with the envelope of messages between our processes.
+using TrafficMeter = std::array<std::uint64_t, kTrafficKinds>;
+
+/// Receives what the network delivers.
+class SimReceiver {
+ public:
+  virtual ~SimReceiver() = default;
+  virtual void deliver(const Endpoint& to, const SimMessage& message) = 0;
+};
+
+class SimNetwork {
+ public:
+  SimNetwork(EventQueue& events, SimRandom& random, Trace& trace, SimReceiver& receiver,
+             NetworkConfig config)
+      : events_(events), random_(random), trace_(trace), receiver_(receiver), config_(config) {}
+
+  /// Zones are numbers; a process that is not placed is outside all zones and is never cut off.
+  void place(const Endpoint& process, int zone) { zones_[process.address] = zone; }
+
+  void send_datagram(const Endpoint& from, const Endpoint& to, Bytes datagram, TrafficKind kind);
+  void send_peer(const Endpoint& from, const Endpoint& to, const PeerMessage& message);
+  void send_node(const Endpoint& from, const Endpoint& to, const NodeMessage& message);
+  void send_replica(const Endpoint& from, const Endpoint& to, const ReplicaMessage& message);
+
+  /// Cuts a zone off from all others, in both directions.
+  void cut_zone(int zone) { cut_zones_.insert(zone); }
+  /// Cuts a group of zones off from the rest; inside the group messages pass.
+  void cut_group(std::set<int> zones) { cut_group_ = std::move(zones); }
+  /// Cuts one process off from others of a kind: all, or only those in `from`.
+  void isolate(const Endpoint& process) { isolated_.insert(process.address); }
+  void block(const Endpoint& a, const Endpoint& b);
+  void heal();
+  [[nodiscard]] bool is_reachable(const Endpoint& a, const Endpoint& b) const;
+
+  /// Faults of datagrams from now on.
+  void set_faults(double loss, double duplication) {
+    config_.loss = loss;
+    config_.duplication = duplication;
+  }
+  [[nodiscard]] const NetworkConfig& config() const { return config_; }
+
+  [[nodiscard]] const std::map<Endpoint, TrafficMeter>& meters() const { return meters_; }
+  void clear_meters() { meters_.clear(); }
+
+ private:
+  void schedule(const Endpoint& to, Duration delay, SimMessage message);
+  void send_stream(const Endpoint& from, const Endpoint& to, SimMessage message, std::size_t size,
+                   TrafficKind kind);
+  [[nodiscard]] Duration delay(const Endpoint& from, const Endpoint& to);
+  [[nodiscard]] int zone_of(const Endpoint& process) const;
+
+  EventQueue& events_;
+  SimRandom& random_;
+  Trace& trace_;
+  SimReceiver& receiver_;
+  NetworkConfig config_;
+  std::map<std::uint32_t, int> zones_;
+  std::set<int> cut_zones_;
+  std::set<int> cut_group_;
+  std::set<std::uint32_t> isolated_;
+  std::set<std::pair<std::uint32_t, std::uint32_t>> blocked_;
+  /// Arrival of the last stream message between two processes.
+  std::map<std::pair<Endpoint, Endpoint>, Instant> streams_;
+  std::map<Endpoint, TrafficMeter> meters_;
+};
+
+}  // namespace gorsevalve
--- /dev/null
+++ b/src/sim/sim_operator.cc
@@ -0,0 +1,91 @@
+#include "sim/sim_operator.h"
+
+namespace gorsevalve {
+namespace {
+
+/// Pause between two sends of a submission whose outcome is not known.
+constexpr Duration kResend = std::chrono::milliseconds(250);
+constexpr Duration kMinDelay = std::chrono::milliseconds(1);
+constexpr Duration kMaxDelay = std::chrono::milliseconds(5);
+
+}  // namespace
+
+void SimOperator::change(Edit edit) {
+  edits_.push_back(std::move(edit));
+  if (!stepping_) {
+    stepping_ = true;
+    context_.events.every(kResend, [this] {
+      step();
+      stepping_ = !edits_.empty();
+      return stepping_;
+    });
+  }
+}
+
+bool SimOperator::read_current(SettingsCommand& command) {
+  for (const auto& replica : replicas_) {
+    if (replica->acts_as_leader()) {
+      const FleetState& fleet = replica->node().state().fleet();
+      command.base_revision = fleet.settings_revision;
+      command.settings = fleet.settings;
+      return true;
+    }
+  }
+  return false;
+}
+
+void SimOperator::step() {
+  if (edits_.empty()) {
+    return;
+  }
+  if (!submission_) {
+    SettingsCommand command;
+    if (!read_current(command)) {
+      return;
+    }
+    command.id = name_ + "-" + std::to_string(next_number_++);
+    command.author = name_;
+    edits_.front()(command.settings);
+    submission_ = std::move(command);
+  }
+  send();
+}
+
+void SimOperator::send() {
+  SimControl& replica = *replicas_[context_.random.below(replicas_.size())];
+  const bool lost = context_.random.chance(loss_);
+  context_.events.after(context_.random.between(kMinDelay, kMaxDelay), [this, &replica, lost,
+                                                                        command = *submission_] {
+    if (lost || !replica.is_up() || replica.is_frozen()) {
+      return;
+    }
+    const SubmissionResult result = replica.node().submit(command, context_.events.now());
+    if (context_.random.chance(loss_)) {
+      return;
+    }
+    context_.events.after(context_.random.between(kMinDelay, kMaxDelay),
+                          [this, id = command.id, result] { on_result(id, result); });
+  });
+}
+
+void SimOperator::on_result(const SubmissionId& id, const SubmissionResult& result) {
+  if (result.status != ControlStatus::kOk) {
+    return;
+  }
+  const bool current = submission_ && submission_->id == id;
+  if (!current) {
+    return;
+  }
+  context_.checks.on_told({result.outcome, submission_->base_revision});
+  context_.trace.note(context_.events.now(),
+                      name_ + " " + id +
+                          (result.outcome.accepted ? " accepted as " : " lost against ") +
+                          std::to_string(result.outcome.revision));
+  if (result.outcome.accepted) {
+    accepted_.emplace(result.outcome.revision, context_.events.now());
+    edits_.pop_front();
+  }
+  submission_.reset();
+}
+
+}  // namespace gorsevalve
--- /dev/null
+++ b/src/sim/sim_target.cc
@@ -0,0 +1,67 @@
+#include "sim/sim_target.h"
+
+namespace gorsevalve {
+namespace {
+
+constexpr Duration kTick = std::chrono::milliseconds(2);
+
+}  // namespace
+
+SimTarget::SimTarget(SimContext context, TargetModelConfig config, SimFabric& fabric)
+    : SimProcess(context), config_(std::move(config)), fabric_(fabric) {}
+
+void SimTarget::start() {
+  keep_record();
+  come_up();
+  model_ = std::make_unique<TargetModel>(config_, static_cast<TargetOutput&>(*this), now());
+  run_every(kTick, [this] { model_->on_tick(now()); });
+}
+
+void SimTarget::kill() { go_down(); }
+
+void SimTarget::keep_record() {
+  if (model_ == nullptr) {
+    return;
+  }
+  for (const auto& [id, count] : model_->executions()) {
+    past_executions_[id] += count;
+  }
+  past_requests_ += model_->requests_run();
+  past_foreign_ += model_->foreign_datagrams();
+}
+
+std::optional<TargetReport> SimTarget::report() {
+  if (!is_up() || is_frozen()) {
+    return std::nullopt;
+  }
+  return model_->report(now());
+}
+
+std::map<std::string, std::uint32_t> SimTarget::executions() const {
+  std::map<std::string, std::uint32_t> all = past_executions_;
+  for (const auto& [id, count] : model_->executions()) {
+    all[id] += count;
+  }
+  return all;
+}
+
+std::uint64_t SimTarget::requests_run() const { return past_requests_ + model_->requests_run(); }
+
+std::uint64_t SimTarget::foreign_datagrams() const {
+  return past_foreign_ + model_->foreign_datagrams();
+}
+
+void SimTarget::handle(const SimMessage& message) {
+  if (const auto* datagram = std::get_if<Bytes>(&message.body)) {
+    model_->on_datagram(*datagram, now());
+  }
+}
+
+void SimTarget::send_answer(const ProxyHeader& header, ByteView message) {
+  if (const auto balancer = fabric_.pick()) {
+    context().network.send_datagram(config_.address, *balancer,
+                                    encode_proxy_datagram(header, message), TrafficKind::kData);
+  }
+}
+
+}  // namespace gorsevalve
--- /dev/null
+++ b/src/sim/world.cc
@@ -0,0 +1,310 @@
+#include "sim/world.h"
+
+#include <algorithm>
+
+namespace gorsevalve {
+namespace {
+
+constexpr Duration kStartLimit = std::chrono::seconds(40);
+constexpr Duration kQuietLimit = std::chrono::seconds(120);
+constexpr Duration kWatchInterval = std::chrono::milliseconds(20);
+constexpr Duration kStep = std::chrono::milliseconds(50);
+constexpr std::uint16_t kCoapPort = 5683;
+
+constexpr std::uint32_t address_of(std::uint32_t group, std::uint32_t number) {
+  return (10U << 24U) | (group << 8U) | number;
+}
+constexpr std::uint32_t kServiceGroup = 1;
+constexpr std::uint32_t kTargetGroup = 10;
+constexpr std::uint32_t kControlGroup = 200;
+constexpr std::uint32_t kBalancerGroup = 201;
+constexpr std::uint32_t kCallerGroup = 1U << 8U;
+
+std::string zone_name(int zone) { return "zone-" + std::string(1, static_cast<char>('a' + zone)); }
+
+int zone_number(const std::string& name) { return name.back() - 'a'; }
+
+Target make_target_settings(std::uint32_t service, std::uint32_t number, int zones) {
+  Target target;
+  target.name = (service == 0 ? "main-" : "archive-") + std::to_string(number);
+  target.address = {address_of(kTargetGroup + service, number), kCoapPort};
+  target.zone = zone_name(static_cast<int>(number) % zones);
+  return target;
+}
+
+Service make_service(std::uint32_t number, int targets, const WorldConfig& config) {
+  Service service;
+  service.name = number == 0 ? "main" : "archive";
+  service.address = {address_of(kServiceGroup, number + 1), kCoapPort};
+  service.priority = number == 0 ? Priority::kUrgent : Priority::kNormal;
+  service.queue_limit = config.queue_limit;
+  for (int i = 1; i <= targets; ++i) {
+    service.targets.push_back(
+        make_target_settings(number, static_cast<std::uint32_t>(i), config.zones));
+  }
+  return service;
+}
+
+}  // namespace
+
+World::World(const WorldConfig& config)
+    : config_(config),
+      random_(config.seed),
+      trace_(config.prints_trace),
+      checks_(events_, trace_),
+      network_(events_, random_, trace_, *this, config.network),
+      fabric_(events_, random_),
+      callers_(context(), fabric_) {
+  make_settings();
+  make_controls();
+  for (int i = 0; i < config_.zones * config_.balancers_per_zone; ++i) {
+    make_balancer(i % config_.zones);
+  }
+  operators_.push_back(std::make_unique<SimOperator>(context(), "operator", controls_));
+}
+
+World::~World() = default;
+
+SimContext World::context() { return {events_, random_, trace_, network_, checks_}; }
+
+void World::make_settings() {
+  settings_.deployment = "simulated";
+  settings_.services = {make_service(0, config_.first_targets, config_),
+                        make_service(1, config_.second_targets, config_)};
+  for (std::size_t i = 0; i < settings_.services.size(); ++i) {
+    for (const auto& target : settings_.services[i].targets) {
+      make_target(target, i == 1);
+    }
+  }
+}
+
+void World::make_target(const Target& target, bool second_service) {
+  TargetModelConfig model;
+  model.name = target.name;
+  model.address = target.address;
+  model.service_time = config_.service_time;
+  model.cold_service_time = 3 * config_.service_time;
+  model.feed_interval = config_.feed_interval;
+  model.misleading_report = config_.misleading_reports;
+  (void)second_service;
+  network_.place(target.address, zone_number(target.zone));
+  targets_[target.address] = std::make_unique<SimTarget>(context(), model, fabric_);
+}
+
+void World::make_controls() {
+  std::vector<Endpoint> addresses;
+  for (int i = 1; i <= config_.control_replicas; ++i) {
+    addresses.push_back({address_of(kControlGroup, static_cast<std::uint32_t>(i)), 7000});
+  }
+  for (std::size_t i = 0; i < addresses.size(); ++i) {
+    network_.place(addresses[i], static_cast<int>(i) % config_.zones);
+    SimControlConfig config;
+    config.name = "control-" + std::to_string(i + 1);
+    config.address = addresses[i];
+    config.replicas = addresses;
+    config.partitions = config_.partitions;
+    config.replica_faults = config_.faults.replica;
+    config.control_faults = config_.faults.control;
+    controls_.push_back(std::make_unique<SimControl>(context(), config));
+  }
+}
+
+SimBalancer& World::make_balancer(int zone) {
+  const auto number = static_cast<std::uint32_t>(balancers_.size() + 1);
+  SimBalancerConfig config;
+  config.name = "balancer-" + std::to_string(number);
+  config.zone = zone_name(zone);
+  config.address = {address_of(kBalancerGroup, number), 6000};
+  config.faults = config_.faults.balancer;
+  config.scheme = config_.scheme;
+  for (const auto& control : controls_) {
+    config.control.push_back(control->config().address);
+  }
+  network_.place(config.address, zone);
+  balancers_.push_back(std::make_unique<SimBalancer>(
+      context(), config, [this](const Endpoint& target) -> std::optional<TargetReport> {
+        const auto found = targets_.find(target);
+        return found == targets_.end() ? std::nullopt : found->second->report();
+      }));
+  return *balancers_.back();
+}
+
+void World::make_callers() {
+  std::uint32_t number = 0;
+  const auto add = [&](CallerKind kind, int count, const Endpoint& service) {
+    for (int i = 0; i < count; ++i) {
+      CallerConfig caller;
+      caller.kind = kind;
+      caller.name = "caller" + std::to_string(++number);
+      caller.flow = {{address_of(kCallerGroup, number), 20000}, service};
+      caller.ports = kind == CallerKind::kLookup ? 512 : 1;
+      caller.seed = config_.seed * 1000003 + number;
+      caller.pause = config_.pause;
+      caller.feed_interval = config_.feed_interval;
+      callers_.add(caller);
+    }
+  };
+  const Endpoint first = settings_.services[0].address;
+  const Endpoint second = settings_.services[1].address;
+  add(CallerKind::kFeed, config_.callers.feeds, first);
+  add(CallerKind::kUpdate, config_.callers.updates, first);
+  add(CallerKind::kLookup, config_.callers.lookups, first);
+  add(CallerKind::kDownload, config_.callers.downloads, second);
+}
+
+bool World::run_until(const std::function<bool()>& condition, Duration limit) {
+  const Instant end = events_.now() + limit;
+  while (!condition()) {
+    if (events_.now() >= end) {
+      return false;
+    }
+    events_.run_until(events_.now() + kStep);
+  }
+  return true;
+}
+
+void World::start() {
+  for (const auto& [address, target] : targets_) {
+    target->start();
+  }
+  for (const auto& control : controls_) {
+    control->initialize();
+    control->start();
+  }
+  for (const auto& balancer : balancers_) {
+    balancer->start();
+    fabric_.announce(balancer->config().address, true);
+  }
+  watch_leases();
+  change_settings([this](Settings& settings) { settings = settings_; });
+  const bool ready =
+      run_until([this] { return operators_.front()->is_idle() && is_converged() && is_settled(); },
+                kStartLimit);
+  if (!ready) {
+    checks_.violate(Invariant::kNotConverged, "the start");
+  }
+}
+
+void World::watch_leases() {
+  events_.every(kWatchInterval, [this] {
+    const auto leaders = std::count_if(controls_.begin(), controls_.end(), [](const auto& control) {
+      return control->acts_as_leader();
+    });
+    if (leaders > 1) {
+      checks_.violate(Invariant::kTwoLeases, std::to_string(leaders) + " replicas act as leader");
+    }
+    return true;
+  });
+}
+
+void World::at(Duration time, std::function<void()> action) {
+  actions_.emplace_back(time, std::move(action));
+}
+
+RunResult World::run(const Expectations& expectations) {
+  load_start_ = events_.now();
+  network_.clear_meters();
+  make_callers();
+  callers_.start();
+  for (auto& [time, action] : actions_) {
+    events_.after(time, std::move(action));
+  }
+  events_.run_until(load_start_ + config_.load_time);
+  RunResult result;
+  measure(result);
+  callers_.stop();
+  network_.heal();
+  const bool operators_done = run_until(
+      [this] {
+        return std::all_of(operators_.begin(), operators_.end(),
+                           [](const auto& one) { return one->is_idle(); });
+      },
+      kQuietLimit);
+  if (!operators_done) {
+    checks_.violate(Invariant::kNotConverged, "a submission got no outcome");
+  }
+  run_until([this] { return callers_.is_idle(); }, kQuietLimit);
+  if (!run_until([this] { return is_converged(); }, kQuietLimit)) {
+    checks_.violate(Invariant::kNotConverged, "states differ at the end");
+  }
+  if (config_.scheme == AffinityScheme::kOwners &&
+      !run_until([this] { return is_settled(); }, kQuietLimit)) {
+    checks_.violate(Invariant::kNotSettled, "handovers do not end");
+  }
+  result.callers = callers_.stats();
+  check_updates(result.callers);
+  check_callers(result.callers, expectations);
+  check_force(expectations, result);
+  check_history();
+  result.violations = checks_.violations();
+  result.trace_hash = trace_.hash();
+  result.events = events_.count();
+  return result;
+}
+
+std::optional<std::size_t> World::leader() const {
+  for (std::size_t i = 0; i < controls_.size(); ++i) {
+    if (controls_[i]->acts_as_leader()) {
+      return i;
+    }
+  }
+  return std::nullopt;
+}
+
+bool World::is_converged() const {
+  const auto leading = leader();
+  if (!leading) {
+    return false;
+  }
+  const ControlState& state = controls_[*leading]->node().state();
+  const bool controls_agree =
+      std::all_of(controls_.begin(), controls_.end(), [&](const auto& control) {
+        return control->is_up() && control->node().state().digest() == state.digest();
+      });
+  bool balancers_agree = true;
+  for (std::size_t i = 0; i < balancers_.size(); ++i) {
+    const SimBalancer& balancer = *balancers_[i];
+    balancers_agree = balancers_agree && (removed_.contains(i) ||
+                                          (balancer.is_up() && !balancer.is_frozen() &&
+                                           balancer.fleet().revision == state.fleet().revision &&
+                                           fleet_digest(balancer.fleet()) == state.digest()));
+  }
+  const std::size_t members = balancers_.size() - removed_.size();
+  return controls_agree && balancers_agree && state.fleet().members.size() == members;
+}
+
+bool World::is_settled() const {
+  const auto leading = leader();
+  if (!leading) {
+    return false;
+  }
+  const ControlNode& node = controls_[*leading]->node();
+  return MembershipController::is_settled(node.state().fleet(), node.nodes());
+}
+
+void World::deliver(const Endpoint& to, const SimMessage& message) {
+  for (const auto& balancer : balancers_) {
+    if (balancer->config().address == to) {
+      balancer->receive(message);
+      return;
+    }
+  }
+  const auto target = targets_.find(to);
+  if (target != targets_.end()) {
+    target->second->receive(message);
+    return;
+  }
+  if (const auto* datagram = std::get_if<Bytes>(&message.body)) {
+    if (callers_.receive(to, *datagram)) {
+      return;
+    }
+  }
+  for (const auto& control : controls_) {
+    if (control->config().address == to) {
+      control->receive(message);
+      return;
+    }
+  }
+}
+
+}  // namespace gorsevalve
--- /dev/null
+++ b/src/sim/world.h
@@ -0,0 +1,172 @@
+/// A whole simulated deployment: control replicas, balancers, targets, callers, fabric, operators.
+/// A scenario drives it; the same seed gives the same run.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "sim/checks.h"
+#include "sim/sim_balancer.h"
+#include "sim/sim_callers.h"
+#include "sim/sim_control.h"
+#include "sim/sim_fabric.h"
+#include "sim/sim_operator.h"
+#include "sim/sim_target.h"
+
+namespace gorsevalve {
+
+/// Deliberate faults of all kinds.
+struct SimFaults {
+  BalancerFaults balancer;
+  ReplicaFaults replica;
+  ControlFaults control;
+};
+
+struct CallerCounts {
+  int feeds = 10;
+  int updates = 10;
+  int lookups = 8;
+  int downloads = 5;
+};
+
+struct WorldConfig {
+  std::uint64_t seed = 1;
+  bool prints_trace = false;
+  AffinityScheme scheme = AffinityScheme::kOwners;
+  SimFaults faults;
+  int zones = 3;
+  int balancers_per_zone = 2;
+  int control_replicas = 3;
+  /// Targets of the first and of the second service.
+  int first_targets = 15;
+  int second_targets = 4;
+  std::uint32_t partitions = 64;
+  std::uint32_t queue_limit = 32;
+  NetworkConfig network;
+  CallerCounts callers;
+  /// Pause between two pieces of work of a caller.
+  Duration pause = std::chrono::milliseconds(150);
+  Duration service_time = std::chrono::milliseconds(2);
+  Duration feed_interval = std::chrono::milliseconds(500);
+  bool misleading_reports = false;
+  /// Time for which callers begin new work.
+  Duration load_time = std::chrono::seconds(20);
+};
+
+/// What must hold beyond the invariants that hold always.
+struct Expectations {
+  bool no_broken_flow = true;
+  bool no_feed_move = true;
+  /// Every request gets its own answer: no timeout, no "may have run".
+  bool no_request_cut = false;
+  bool forced_in_time = true;
+};
+
+/// What a run measured.
+struct RunResult {
+  std::vector<Violation> violations;
+  std::uint64_t trace_hash = 0;
+  std::uint64_t events = 0;
+  CallerStats callers;
+  /// Maximum over mean of the requests that the targets of each service ran, weighted.
+  std::vector<double> imbalance;
+  /// Longest time from acceptance to force at a reachable balancer.
+  Duration longest_force{};
+  std::uint64_t datagrams = 0;
+  std::uint64_t relayed = 0;
+  /// Mean octets a second that a balancer sent to peers, and to control.
+  double peer_octets_per_second = 0;
+  double node_octets_per_second = 0;
+};
+
+class World : private SimReceiver {
+ public:
+  explicit World(const WorldConfig& config);
+  ~World() override;
+
+  /// Starts everything; returns when the first settings are in force and handovers are done.
+  void start();
+  /// Runs the load; actions that were scheduled with `at` happen meanwhile. Then heals everything,
+  /// waits until the system is quiet, and checks.
+  RunResult run(const Expectations& expectations);
+
+  /// Runs an action at a time after the start of the load.
+  void at(Duration time, std::function<void()> action);
+
+  // What scenarios do.
+  void kill_balancer(std::size_t i, Duration down_for);
+  void restart_balancer(std::size_t i, std::function<void()> then = {});
+  void add_balancer();
+  void remove_balancer(std::size_t i);
+  void kill_control(std::size_t i, Duration down_for, bool wipe = false);
+  /// Cuts a replica off from the others; balancers and operators still reach it.
+  void isolate_control(std::size_t i, Duration time);
+  void cut_zone(int zone, Duration time);
+  void heal();
+  /// Submits a change of the settings by the first operator.
+  void change_settings(SimOperator::Edit edit) { operators_.front()->change(std::move(edit)); }
+  SimOperator& add_operator(double loss);
+  /// Sets a target to drain; no new work may reach it 3 s after acceptance.
+  void drain_target(std::size_t service, std::size_t target);
+  /// A target that is not in the settings yet.
+  Target spare_target(std::size_t service);
+
+  [[nodiscard]] SimRandom& random() { return random_; }
+  [[nodiscard]] EventQueue& events() { return events_; }
+  [[nodiscard]] SimNetwork& network() { return network_; }
+  [[nodiscard]] std::vector<std::unique_ptr<SimBalancer>>& balancers() { return balancers_; }
+  [[nodiscard]] std::vector<std::unique_ptr<SimControl>>& controls() { return controls_; }
+  [[nodiscard]] std::map<Endpoint, std::unique_ptr<SimTarget>>& targets() { return targets_; }
+  [[nodiscard]] std::optional<std::size_t> leader() const;
+  [[nodiscard]] const WorldConfig& config() const { return config_; }
+  void note(const std::string& text) { trace_.note(events_.now(), text); }
+
+ private:
+  struct Drain {
+    Endpoint target;
+    Revision after = 0;
+  };
+
+  void deliver(const Endpoint& to, const SimMessage& message) override;
+  [[nodiscard]] SimContext context();
+  void make_controls();
+  void make_settings();
+  void make_target(const Target& target, bool second_service);
+  void make_callers();
+  SimBalancer& make_balancer(int zone);
+  void watch_leases();
+  [[nodiscard]] bool is_settled() const;
+  [[nodiscard]] bool is_converged() const;
+  bool run_until(const std::function<bool()>& condition, Duration limit);
+
+  void check_updates(const CallerStats& stats);
+  void check_callers(const CallerStats& stats, const Expectations& expectations);
+  void check_force(const Expectations& expectations, RunResult& result);
+  void check_history();
+  void measure(RunResult& result);
+
+  WorldConfig config_;
+  EventQueue events_;
+  SimRandom random_;
+  Trace trace_;
+  Checks checks_;
+  SimNetwork network_;
+  SimFabric fabric_;
+  Settings settings_;
+  std::vector<std::unique_ptr<SimControl>> controls_;
+  std::vector<std::unique_ptr<SimBalancer>> balancers_;
+  std::map<Endpoint, std::unique_ptr<SimTarget>> targets_;
+  SimCallers callers_;
+  std::vector<std::unique_ptr<SimOperator>> operators_;
+  std::vector<std::pair<Duration, std::function<void()>>> actions_;
+  /// Balancers that were taken out for good.
+  std::set<std::size_t> removed_;
+  std::set<Endpoint> unloaded_targets_;
+  /// Drained targets, with the instant from which new work is too late.
+  std::map<Endpoint, Instant> drained_;
+  std::uint32_t spare_targets_ = 0;
+  Instant load_start_;
+};
+
+}  // namespace gorsevalve
--- a/src/standins/caller_model.h
+++ b/src/standins/caller_model.h
@@ -65,6 +65,8 @@
   /// Pause between two pieces of work.
   Duration pause = std::chrono::milliseconds(200);
   Duration feed_interval = std::chrono::milliseconds(500);
+  /// Ports that the caller uses in turn, from the flow's port on: each lookup is a flow of its own.
+  std::uint16_t ports = 1;
 };
 
 class CallerOutput {
@@ -121,6 +123,7 @@
   std::uint16_t next_message_id_;
   std::uint32_t next_token_ = 1;
   std::uint32_t next_number_ = 1;
+  std::uint16_t first_port_;
   Instant next_work_;
   bool stopping_ = false;
   std::set<std::uint16_t> seen_confirmable_;
