Fix handovers that never end, and requests cut by planned restarts

(2) A balancer skipped memberships that it got in one update, so it missed that it had lost a partition in between. (3) A new member owned partitions before it had a lease, and refused once-only requests for up to a second. (4) Records that waited for a backup which was replaced were never sent to the new one. (5) A lost datagram between balancer and target cost a repeatable request its whole deadline. Change: an expelled process drops its state and rejoins as another member; memberships are applied one by one; an owner that was not the owner in between asks that one first; a new owner leaves the state with the old one until it has a lease; records are sent again to a new backup; repeatable requests are sent again with growing intervals out of the retry budget. Verdicts are counted by reason.

--- a/src/core/balancer/answer_path.cc
+++ b/src/core/balancer/answer_path.cc
@@ -140,9 +140,9 @@
   record.target = target->address;
   ++record.retries;
   actions_.binding().bind(partition, record.flow, target->address, now);
-  state_.set_deadline(partition.id, record, record.deadline);
   ++state_.counters().requests_retried;
-  actions_.dispatch(partition, record, record.request, now);
+  actions_.dispatch(partition, record, record.request);
+  actions_.plan_resend(partition, record, now);
   return true;
 }
 
--- a/src/core/balancer/balancer.cc
+++ b/src/core/balancer/balancer.cc
@@ -271,6 +271,10 @@
       actions_.give_up(partition, record, Execution::kNotRun, GiveUpReason::kDeadline, now);
       return;
     case RequestState::kDispatched:
+      if (now < record.give_up_at) {
+        actions_.resend(partition, record, now);
+        return;
+      }
       actions_.give_up(partition, record, Execution::kMayHaveRun, GiveUpReason::kDeadline, now);
       chain_.drain_queue(target, now);
       return;
@@ -296,12 +300,13 @@
       service == nullptr
           ? Duration::zero()
           : Duration(std::chrono::milliseconds(service->service->request_timeout_ms));
-  state_.set_deadline(partition.id, *record, now + timeout);
+  record->give_up_at = now + timeout;
+  state_.set_deadline(partition.id, *record, record->give_up_at);
   chain_.resume(partition, *record, ChainEntry::kAdmission, now);
 }
 
-void Balancer::on_superseded(Partition& partition, Instant /*now*/) {
-  handover_.abandon(partition);
+void Balancer::on_superseded(Partition& partition, Instant now) {
+  handover_.on_superseded(partition, now);
 }
 
 void Balancer::on_request_imported(Partition& partition, RequestRecord& record, Instant now) {
@@ -326,7 +331,8 @@
                    ? Duration::zero()
                    : Duration(std::chrono::milliseconds(service->service->request_timeout_ms));
   }
-  state_.set_deadline(partition.id, record, now + lifetime);
+  record.give_up_at = now + lifetime;
+  state_.set_deadline(partition.id, record, record.give_up_at);
 }
 
 void Balancer::on_acquired(Partition& partition, Instant now) {
--- a/src/core/balancer/balancer_state.h
+++ b/src/core/balancer/balancer_state.h
@@ -4,6 +4,7 @@
 #include <absl/container/flat_hash_map.h>
 
 #include <algorithm>
+#include <array>
 #include <memory>
 #include <queue>
 
@@ -12,6 +13,7 @@
 #include "core/balancer/partition_table.h"
 #include "core/balancer/target_board.h"
 #include "model/fleet.h"
+#include "model/verdict.h"
 
 namespace gorsevalve {
 
@@ -28,6 +30,7 @@
   std::uint64_t requests_dispatched = 0;
   std::uint64_t requests_duplicate = 0;
   std::uint64_t requests_retried = 0;
+  std::uint64_t requests_resent = 0;
   std::uint64_t answers = 0;
   std::uint64_t answers_unmatched = 0;
   std::uint64_t verdicts_not_run = 0;
@@ -40,6 +43,8 @@
   std::uint64_t partitions_incomplete = 0;
   std::uint64_t partitions_superseded = 0;
   std::uint64_t dispatches_blocked = 0;
+  /// Verdicts by GiveUpReason.
+  std::array<std::uint64_t, kGiveUpReasons> given_up{};
 };
 
 /// Deliberate faults, for the test that shows that the checkers can fail. All off in programs.
--- a/src/core/balancer/control_client.cc
+++ b/src/core/balancer/control_client.cc
@@ -44,26 +44,62 @@
   may_stop_ = may_stop_ || (reply.may_stop && self_.state == MemberState::kLeaving);
 }
 
+bool ControlClient::is_member(const FleetState& fleet) const {
+  return std::any_of(fleet.members.begin(), fleet.members.end(), [&](const Member& member) {
+    return member.address == self_.address && member.incarnation == self_.incarnation;
+  });
+}
+
 void ControlClient::on_update(const FleetUpdate& update, Instant now) {
+  // The steps are kept apart where the members change, since a handover follows each of them.
+  std::vector<FleetState> steps;
   FleetState next = fleet_;
   if (update.is_whole) {
     next = update.whole;
   } else {
     for (const auto& delta : update.deltas) {
-      apply_delta(next, delta);
+      if (apply_delta(next, delta) && delta.members) {
+        steps.push_back(next);
+      }
     }
   }
   // An older state never replaces a newer one. A whole state of the same revision repairs one whose
   // digest was wrong.
   const bool newer = next.revision > fleet_.revision;
   const bool repairs = update.is_whole && next.revision == fleet_.revision;
-  const std::uint64_t digest = fleet_digest(next);
-  if ((!newer && !repairs) || digest != update.digest) {
+  if ((!newer && !repairs) || fleet_digest(next) != update.digest) {
     return;
   }
+  if (!steps.empty() && steps.back().revision == next.revision) {
+    steps.pop_back();
+  }
+  for (auto& step : steps) {
+    adopt(std::move(step), now);
+  }
+  adopt(std::move(next), now);
+}
+
+void ControlClient::adopt(FleetState next, Instant now) {
+  const bool was_member = is_member(fleet_);
+  const bool missed_members = next.members_epoch > fleet_.members_epoch + 1;
+  const bool expelled = was_member && (!is_member(next) || missed_members);
   fleet_ = std::move(next);
-  digest_ = digest;
+  digest_ = fleet_digest(fleet_);
+  if (expelled && self_.state == MemberState::kActive) {
+    output_.on_expelled(now);
+  }
   output_.on_fleet(fleet_, now);
+  if (is_member(fleet_) && lease_until_ <= now) {
+    // A new member has no lease yet: it asks at once.
+    send_heartbeat(0, now);
+  }
+}
+
+void ControlClient::rejoin(std::uint64_t incarnation) {
+  self_.incarnation = incarnation;
+  lease_until_ = Instant{};
+  reported_settled_ = 0;
+  heartbeats_sent_.clear();
 }
 
 void ControlClient::send_heartbeat(Revision settled_revision, Instant now) {
--- a/src/core/balancer/control_client.h
+++ b/src/core/balancer/control_client.h
@@ -20,6 +20,9 @@
   /// A newer fleet state is in force from now on.
   virtual void on_fleet(const FleetState& fleet, Instant now) = 0;
   virtual void on_lease(Instant until) = 0;
+  /// This process was removed from the members although it runs: others have taken over what it
+  /// owned. It must drop its state and call `rejoin` with a new incarnation.
+  virtual void on_expelled(Instant now) = 0;
 };
 
 class ControlClient {
@@ -32,6 +35,9 @@
   /// `settled_revision` is the balancer's.
   void on_tick(Revision settled_revision, Instant now);
 
+  /// Takes part again as another member, after on_expelled.
+  void rejoin(std::uint64_t incarnation);
+
   /// Asks to leave: this process will hand over its partitions.
   void leave() { self_.state = MemberState::kLeaving; }
   /// True when this process left the members and may end.
@@ -40,6 +46,8 @@
 
  private:
   void on_update(const FleetUpdate& update, Instant now);
+  void adopt(FleetState next, Instant now);
+  [[nodiscard]] bool is_member(const FleetState& fleet) const;
   void on_reply(const HeartbeatReply& reply, Instant now);
   void send_heartbeat(Revision settled_revision, Instant now);
 
--- a/src/core/balancer/handover.cc
+++ b/src/core/balancer/handover.cc
@@ -58,10 +58,7 @@
   const FleetView& view = *state_.view();
   state_.set_owned_share(view.owned_share(state_.self()));
   for (PartitionId id = 0; id < view.state().partitions; ++id) {
-    const Member* owner = view.owner(id);
-    const bool is_owner = owner != nullptr && owner->address == state_.self() &&
-                          owner->incarnation == state_.config().self.incarnation;
-    if (is_owner) {
+    if (is_own(view.owner(id))) {
       follow_assignment(state_.partitions().at(id), now);
     } else if (state_.partitions().find(id) != nullptr) {
       cancel_if_source_keeps(state_.partitions().at(id));
@@ -69,6 +66,11 @@
   }
 }
 
+bool Handover::is_own(const Member* member) const {
+  return member != nullptr && member->address == state_.self() &&
+         member->incarnation == state_.config().self.incarnation;
+}
+
 void Handover::cancel_if_source_keeps(Partition& partition) {
   // Another membership change came before the state arrived. Normally the transfer goes on, since
   // the next owner asks this process. But when the process that has the state owns it again, it
@@ -89,13 +91,22 @@
     start_acquisition(partition, now);
     return;
   }
-  if (partition.role == PartitionRole::kOwner) {
-    const Member* backup = state_.view()->backup(partition.id);
-    const std::optional<Endpoint> address =
-        backup == nullptr ? std::nullopt : std::optional(backup->address);
-    if (address != partition.backup) {
-      set_backup(partition, state_.view()->members_revision());
-    }
+  if (partition.role != PartitionRole::kOwner) {
+    return;
+  }
+  partition.unclaimed_since.reset();
+  if (!is_own(state_.view()->previous_owner(partition.id))) {
+    // Another process owned it in between and may have decided: its state counts.
+    start_acquisition(partition, now);
+    partition.acquisition->keeps_state = true;
+    return;
+  }
+  const Member* backup = state_.view()->backup(partition.id);
+  const std::optional<Endpoint> address =
+      backup == nullptr ? std::nullopt : std::optional(backup->address);
+  if (address != partition.backup) {
+    set_backup(partition, state_.view()->members_revision());
+    replicator_.record_again(partition, now);
   }
 }
 
@@ -130,19 +141,23 @@
   acquisition.revision = state_.view()->members_revision();
   acquisition.sources = find_sources(partition.id);
   acquisition.last_heard = now;
+  acquisition.waits_until = now + timing::kLeaseWait;
   partition.acquisition = std::move(acquisition);
   if (state_.view()->is_first_membership()) {
     finish(partition, true, now);
     return;
   }
-  ask_source(partition, now);
+  if (!waits_for_lease(*partition.acquisition, now)) {
+    ask_source(partition, now);
+  }
+}
+
+bool Handover::waits_for_lease(const Acquisition& acquisition, Instant now) const {
+  return now >= state_.lease_until() && now < acquisition.waits_until;
 }
 
 bool Handover::take_own_copy(Partition& partition, Instant now) {
-  const Member* backup = state_.view()->previous_backup(partition.id);
-  const bool was_backup = backup != nullptr && backup->address == state_.self() &&
-                          backup->incarnation == state_.config().self.incarnation;
-  if (!was_backup || partition.copy == nullptr) {
+  if (!is_own(state_.view()->previous_backup(partition.id)) || partition.copy == nullptr) {
     return false;
   }
   partition.sealed_revision = std::max(partition.sealed_revision, partition.acquisition->revision);
@@ -191,18 +206,30 @@
   }
   acquisition.last_heard = now;
   ++acquisition.next_chunk;
-  partition.incomplete_until = std::max(partition.incomplete_until,
-                                        now + std::chrono::milliseconds(chunk.incomplete_for_ms));
-  import(partition, chunk.state, now);
+  take_state(partition, chunk, now);
   if (!chunk.last) {
     ask_source(partition, now);
   } else if (chunk.holding == HoldingState::kComplete) {
     finish(partition, true, now);
+  } else if (acquisition.keeps_state && acquisition.sources[acquisition.source].was_owner) {
+    // The owner in between never fetched the state, so it decided nothing.
+    finish(partition, true, now);
   } else {
     next_source(partition, now);
   }
 }
 
+void Handover::take_state(Partition& partition, const TakeoverChunk& chunk, Instant now) {
+  Acquisition& acquisition = *partition.acquisition;
+  if (acquisition.keeps_state && chunk.holding != HoldingState::kNone) {
+    acquisition.keeps_state = false;
+    binding_.clear(partition);
+  }
+  partition.incomplete_until = std::max(partition.incomplete_until,
+                                        now + std::chrono::milliseconds(chunk.incomplete_for_ms));
+  import(partition, chunk.state, now);
+}
+
 void Handover::import(Partition& partition, const StateBatch& batch, Instant now) {
   for (const auto& pin : batch.pins) {
     if (partition.store.find_flow(pin.flow) == nullptr) {
@@ -291,9 +318,7 @@
   }
   // The present view gives the partition to this process under a revision that is not older.
   const FleetView& view = *state_.view();
-  const Member* owner = view.owner(partition.id);
-  const bool is_owner = owner != nullptr && owner->address == state_.self();
-  return is_owner && request.members_revision <= view.members_revision();
+  return is_own(view.owner(partition.id)) && request.members_revision <= view.members_revision();
 }
 
 void Handover::on_takeover_request(const Endpoint& from, const TakeoverRequest& request,
@@ -331,13 +356,16 @@
     if (partition->role == PartitionRole::kAcquiring) {
       acquiring.push_back(partition);
     }
+    abandon_unclaimed(*partition, now);
     if (partition->outgoing && now - partition->outgoing->last_asked > timing::kOutgoingLifetime) {
       partition->outgoing.reset();
     }
   }
   for (Partition* partition : acquiring) {
-    const Acquisition& acquisition = *partition->acquisition;
-    if (now - acquisition.last_heard >= timing::kTakeoverSourceTimeout) {
+    Acquisition& acquisition = *partition->acquisition;
+    if (waits_for_lease(acquisition, now)) {
+      acquisition.last_heard = now;
+    } else if (now - acquisition.last_heard >= timing::kTakeoverSourceTimeout) {
       next_source(*partition, now);
     } else if (now - acquisition.last_sent >= timing::kTakeoverRetry) {
       ask_source(*partition, now);
@@ -354,9 +382,31 @@
 }
 
 void Handover::abandon(Partition& partition) {
-  ++state_.counters().partitions_superseded;
   binding_.clear(partition);
   partition.role = PartitionRole::kNone;
+  partition.unclaimed_since.reset();
+}
+
+void Handover::on_superseded(Partition& partition, Instant now) {
+  ++state_.counters().partitions_superseded;
+  abandon(partition);
+  if (is_own(state_.view()->owner(partition.id))) {
+    start_acquisition(partition, now);
+  }
+}
+
+void Handover::abandon_unclaimed(Partition& partition, Instant now) {
+  const bool claimed =
+      partition.role != PartitionRole::kOwner || is_own(state_.view()->owner(partition.id));
+  if (claimed) {
+    partition.unclaimed_since.reset();
+    return;
+  }
+  partition.unclaimed_since = partition.unclaimed_since.value_or(now);
+  if (now - *partition.unclaimed_since > timing::kUnclaimedTimeout) {
+    // The new owner found its state elsewhere, or lost its way to this process.
+    abandon(partition);
+  }
 }
 
 bool Handover::is_settled() const {
@@ -365,13 +415,10 @@
     return false;
   }
   const auto& partitions = state_.partitions().used();
-  return std::all_of(partitions.begin(), partitions.end(), [&](const Partition* used) {
-    const Partition& partition = *used;
-    const Member* owner = view->owner(partition.id);
-    const bool is_owner = owner != nullptr && owner->address == state_.self();
-    const bool copying = partition.copy_pending;
-    return is_owner ? partition.role == PartitionRole::kOwner && !copying
-                    : partition.role == PartitionRole::kNone;
+  return std::all_of(partitions.begin(), partitions.end(), [&](const Partition* partition) {
+    return is_own(view->owner(partition->id))
+               ? partition->role == PartitionRole::kOwner && !partition->copy_pending
+               : partition->role == PartitionRole::kNone;
   });
 }
 
--- a/src/core/balancer/handover.h
+++ b/src/core/balancer/handover.h
@@ -36,8 +36,9 @@
   /// Keeps a datagram until the state of its partition has arrived.
   void hold(Partition& partition, const ProxyHeader& header, ByteView payload);
 
-  /// Stops deciding for a partition without giving its state to anyone.
-  void abandon(Partition& partition);
+  /// A newer owner has fenced this process off: it stops deciding, and fetches the state again when
+  /// the members still give it the partition.
+  void on_superseded(Partition& partition, Instant now);
 
   /// True when this process owns what the view gives it, with its backups complete, and holds
   /// nothing else.
@@ -49,6 +50,11 @@
  private:
   void follow_assignment(Partition& partition, Instant now);
   void start_acquisition(Partition& partition, Instant now);
+  void abandon(Partition& partition);
+  void abandon_unclaimed(Partition& partition, Instant now);
+  void take_state(Partition& partition, const TakeoverChunk& chunk, Instant now);
+  [[nodiscard]] bool is_own(const Member* member) const;
+  [[nodiscard]] bool waits_for_lease(const Acquisition& acquisition, Instant now) const;
   [[nodiscard]] std::vector<TakeoverSource> find_sources(PartitionId partition) const;
   [[nodiscard]] bool take_own_copy(Partition& partition, Instant now);
   void ask_source(Partition& partition, Instant now);
--- a/src/core/balancer/partition.h
+++ b/src/core/balancer/partition.h
@@ -49,6 +49,10 @@
   std::uint32_t next_chunk = 0;
   Instant last_sent;
   Instant last_heard;
+  /// The sources are not asked before this process has a lease, or until this instant.
+  Instant waits_until;
+  /// This process owned the partition before the last change but one, and still has its state.
+  bool keeps_state = false;
   std::vector<HeldDatagram> held;
 
   [[nodiscard]] bool has_source() const { return source < sources.size(); }
@@ -107,6 +111,8 @@
   PartitionRole role = PartitionRole::kNone;
   PartitionStore store;
 
+  /// Since when this process decides although the members give the partition to another one.
+  std::optional<Instant> unclaimed_since;
   /// As owner: revision since which owner and backup are the same, and the backup.
   Revision owner_revision = 0;
   std::optional<Endpoint> backup;
--- a/src/core/balancer/records.h
+++ b/src/core/balancer/records.h
@@ -86,8 +86,13 @@
   /// Block-wise continuation: never refused for overload.
   bool continuation = false;
   Endpoint target;
-  /// Give up at this instant, or forget when already decided. Local to the process.
+  /// Look at the record again at this instant: send again, give up, or forget. Local to the
+  /// process.
   Instant deadline;
+  /// While dispatched: give up at this instant. Local to the process.
+  Instant give_up_at;
+  /// Times that it was sent to the same target again.
+  std::uint8_t resends = 0;
   FeedState feed;
   /// The request as the caller sent it: while it waits, and for feeds as long as they are open.
   Bytes request;
--- a/src/core/balancer/replication.cc
+++ b/src/core/balancer/replication.cc
@@ -60,6 +60,27 @@
   }
 }
 
+void Replicator::record_again(Partition& partition, Instant now) {
+  std::vector<RequestId> recording;
+  for (const auto& [id, record] : partition.store.requests()) {
+    if (record->state == RequestState::kRecording) {
+      recording.push_back(id);
+    }
+  }
+  std::sort(recording.begin(), recording.end());
+  for (auto entry = pending_.begin(); entry != pending_.end();) {
+    const bool outdated = entry->second.message.partition == partition.id;
+    entry = outdated ? pending_.erase(entry) : std::next(entry);
+  }
+  for (const auto& id : recording) {
+    if (!partition.backup) {
+      listener_.on_recorded(partition, id, now);
+    } else if (const RequestRecord* record = partition.store.find_request(id)) {
+      record_now(partition, *record, now);
+    }
+  }
+}
+
 StateBatch Replicator::take_batch(Partition& partition) const {
   StateBatch batch;
   std::size_t size = 0;
--- a/src/core/balancer/replication.h
+++ b/src/core/balancer/replication.h
@@ -32,6 +32,8 @@
 
   /// Begins a full copy to the partition's backup.
   void start_copy(Partition& partition);
+  /// The backup is another one: sends the records that wait for a confirmation to it.
+  void record_again(Partition& partition, Instant now);
 
   void on_reply(const ReplicateReply& reply, Instant now);
   void on_tick(Instant now);
--- a/src/core/balancer/request_actions.cc
+++ b/src/core/balancer/request_actions.cc
@@ -33,8 +33,8 @@
     record->request.assign(context.message.begin(), context.message.end());
     context.partition.store.index(record);
     context.record = record;
-    state_.set_deadline(context.partition.id, *record,
-                        context.now + request_timeout(&context.service));
+    record->give_up_at = context.now + request_timeout(&context.service);
+    state_.set_deadline(context.partition.id, *record, record->give_up_at);
   }
   context.record->state = record_state;
   if (context.target) {
@@ -44,8 +44,7 @@
   return *context.record;
 }
 
-void RequestActions::dispatch(Partition& partition, RequestRecord& record, ByteView message,
-                              Instant now) {
+void RequestActions::dispatch(Partition& partition, RequestRecord& record, ByteView message) {
   const ServiceView* service = state_.view()->service(record.flow.service);
   if (service == nullptr || state_.view()->target(*service, record.target) == nullptr) {
     ++state_.counters().dispatches_blocked;
@@ -62,7 +61,31 @@
   header.flow = record.flow;
   header.request_id = record.id;
   state_.output().send_to_target(record.target, header, message);
-  (void)now;
+}
+
+void RequestActions::plan_resend(Partition& partition, RequestRecord& record, Instant now) {
+  if (record.kind == RequestKind::kOnceOnly || record.request.empty()) {
+    state_.set_deadline(partition.id, record, record.give_up_at);
+    return;
+  }
+  const Duration interval = timing::kResendInterval * (1U << record.resends);
+  state_.set_deadline(partition.id, record, std::min(now + interval, record.give_up_at));
+}
+
+void RequestActions::resend(Partition& partition, RequestRecord& record, Instant now) {
+  ++record.resends;
+  plan_resend(partition, record, now);
+  const ServiceView* service = state_.view()->service(record.flow.service);
+  const bool listed =
+      service != nullptr && state_.view()->target(*service, record.target) != nullptr;
+  if (!listed || !state_.retry_budget().take()) {
+    return;
+  }
+  ++state_.counters().requests_resent;
+  ProxyHeader header;
+  header.flow = record.flow;
+  header.request_id = record.id;
+  state_.output().send_to_target(record.target, header, record.request);
 }
 
 std::chrono::seconds RequestActions::retry_after(const Service& service,
@@ -92,7 +115,7 @@
   ++record.version;
   auto& counters = state_.counters();
   ++(execution == Execution::kNotRun ? counters.verdicts_not_run : counters.verdicts_may_have_run);
-  (void)reason;
+  ++counters.given_up[static_cast<std::size_t>(reason)];
   const bool once_only = record.kind == RequestKind::kOnceOnly;
   if (once_only) {
     replicator_.mark_changed(partition, record);
@@ -125,7 +148,7 @@
   record.feed.moved = true;
   Bytes message = record.request;
   set_coap_message_id(message, flow->next_message_id++);
-  dispatch(partition, record, message, now);
+  dispatch(partition, record, message);
   record.state = RequestState::kAnswered;
   --state_.board().at(target).outstanding;
   state_.set_deadline(partition.id, record, now + timing::kFeedIdle);
--- a/src/core/balancer/request_actions.h
+++ b/src/core/balancer/request_actions.h
@@ -18,7 +18,13 @@
 
   /// Sends a request to its target and counts it. The caller has checked that the service has the
   /// target; a target that it does not have is never sent to.
-  void dispatch(Partition& partition, RequestRecord& record, ByteView message, Instant now);
+  void dispatch(Partition& partition, RequestRecord& record, ByteView message);
+
+  /// Plans the next look at a dispatched request: the next send of a repeatable one, or the moment
+  /// to give up.
+  void plan_resend(Partition& partition, RequestRecord& record, Instant now);
+  /// Sends a request that got no answer to its target once more.
+  void resend(Partition& partition, RequestRecord& record, Instant now);
 
   /// Gives up on a request that has a record: answers the caller at once and remembers the verdict.
   void give_up(Partition& partition, RequestRecord& record, Execution execution,
--- a/src/core/balancer/timing.h
+++ b/src/core/balancer/timing.h
@@ -16,9 +16,16 @@
 constexpr Duration kBatchRetry = milliseconds(60);
 constexpr Duration kBatchRetryMaximum = seconds(1);
 
+/// First interval after which a repeatable request without an answer is sent to its target again;
+/// it doubles each time.
+constexpr Duration kResendInterval = milliseconds(500);
 /// Interval between two TakeoverRequests, and how long a silent source is asked.
 constexpr Duration kTakeoverRetry = milliseconds(40);
 constexpr Duration kTakeoverSourceTimeout = milliseconds(1000);
+/// A new owner without a lease leaves the state with the old one for this long at most.
+constexpr Duration kLeaseWait = milliseconds(1000);
+/// An owner whose successor does not ask for the state stops deciding after this time.
+constexpr Duration kUnclaimedTimeout = seconds(5);
 /// State frozen for a new owner is dropped this long after it last asked.
 constexpr Duration kOutgoingLifetime = seconds(60);
 
--- a/src/model/verdict.h
+++ b/src/model/verdict.h
@@ -23,10 +23,8 @@
   kNoBackup = 3,
   kNoLease = 4,
   kIncompleteTakeover = 5,
-  kUnknownService = 6,
-  kOwnerUnreachable = 7,
-  kTargetRemoved = 8,
 };
+constexpr std::size_t kGiveUpReasons = 6;
 
 constexpr std::string_view to_string(GiveUpReason reason) {
   switch (reason) {
@@ -42,12 +40,6 @@
       return "no_lease";
     case GiveUpReason::kIncompleteTakeover:
       return "incomplete_takeover";
-    case GiveUpReason::kUnknownService:
-      return "unknown_service";
-    case GiveUpReason::kOwnerUnreachable:
-      return "owner_unreachable";
-    case GiveUpReason::kTargetRemoved:
-      return "target_removed";
   }
   return "unknown";
 }
--- a/src/programs/balancer_main.cc
+++ b/src/programs/balancer_main.cc
@@ -13,6 +13,7 @@
 #include "tasks/http_server.h"
 #include "tasks/log.h"
 #include "tasks/metrics.h"
+#include "tasks/random_number.h"
 #include "tasks/target_poller.h"
 
 ABSL_FLAG(std::string, name, "", "name of this balancer in logs and status");
@@ -83,14 +84,23 @@
   static HttpResponse render(const std::string& path, const BalancerSnapshot& snapshot) {
     if (path == "/metrics") {
       std::vector<MetricSample> samples = to_samples(snapshot.counters);
-      samples.push_back({"gorsevalve_revision", "Revision in force",
-                         static_cast<double>(snapshot.revision), false});
+      samples.push_back({"gorsevalve_revision",
+                         "Revision in force",
+                         static_cast<double>(snapshot.revision),
+                         false,
+                         {}});
       samples.push_back(
-          {"gorsevalve_flows", "Flows held", static_cast<double>(snapshot.flows), false});
-      samples.push_back({"gorsevalve_requests_held", "Requests held",
-                         static_cast<double>(snapshot.requests), false});
-      samples.push_back({"gorsevalve_messages_refused_total", "Messages that were not authentic",
-                         static_cast<double>(snapshot.messages_refused), true});
+          {"gorsevalve_flows", "Flows held", static_cast<double>(snapshot.flows), false, {}});
+      samples.push_back({"gorsevalve_requests_held",
+                         "Requests held",
+                         static_cast<double>(snapshot.requests),
+                         false,
+                         {}});
+      samples.push_back({"gorsevalve_messages_refused_total",
+                         "Messages that were not authentic",
+                         static_cast<double>(snapshot.messages_refused),
+                         true,
+                         {}});
       return {200, "text/plain; version=0.0.4", render_metrics(samples)};
     }
     if (path == "/v1/health" || path == "/v1/status") {
--- a/src/programs/control_main.cc
+++ b/src/programs/control_main.cc
@@ -8,6 +8,7 @@
 #include "storage/posix_disk.h"
 #include "tasks/control_task.h"
 #include "tasks/log.h"
+#include "tasks/random_number.h"
 
 ABSL_FLAG(std::string, name, "", "name of this replica in logs");
 ABSL_FLAG(std::string, zone, "", "zone that this replica is in");
--- a/src/programs/operator_main.cc
+++ b/src/programs/operator_main.cc
@@ -15,6 +15,7 @@
 #include "programs/program.h"
 #include "settings/settings_file.h"
 #include "tasks/http_client.h"
+#include "tasks/random_number.h"
 
 ABSL_FLAG(std::vector<std::string>, server, {}, "administration addresses, IP:port,...");
 ABSL_FLAG(std::string, token_file, "", "file whose first line is the API token");
--- a/src/programs/program.cc
+++ b/src/programs/program.cc
@@ -3,7 +3,6 @@
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
-#include <random>
 #include <utility>
 
 namespace gorsevalve {
@@ -49,11 +48,6 @@
   return value;
 }
 
-std::uint64_t random_number() {
-  std::random_device device;
-  return (std::uint64_t{device()} << 32U) | device();
-}
-
 void handle_signals(EventLoop& loop, std::function<void()> on_terminate) {
   std::signal(SIGTERM, on_signal);
   std::signal(SIGINT, on_signal);
--- a/src/programs/program.h
+++ b/src/programs/program.h
@@ -33,9 +33,6 @@
 /// Ends the program with kExitUsage when the value is empty.
 std::string require_value(const std::string& flag, const std::string& value);
 
-/// A random number that differs between processes.
-std::uint64_t random_number();
-
 /// Runs `on_terminate` on the loop at the first SIGTERM or SIGINT, and ends the loop at the second.
 void handle_signals(EventLoop& loop, std::function<void()> on_terminate);
 
--- a/src/sim/sim_balancer.cc
+++ b/src/sim/sim_balancer.cc
@@ -17,13 +17,8 @@
   leaving_ = false;
   may_stop_at_.reset();
   forced_at_.clear();
-  Member self;
-  self.name = config_.name;
-  self.zone = config_.zone;
-  self.address = config_.address;
-  self.incarnation = context().random.next();
-  node_ = make_balancer_node(config_.scheme, {self, config_.faults},
-                             static_cast<BalancerOutput&>(*this));
+  const Member self = make_self(context().random.next());
+  make_node(self);
   control_ = std::make_unique<ControlClient>(self, config_.control, stored_,
                                              static_cast<ControlClientOutput&>(*this));
   if (stored_.revision > 0) {
@@ -33,6 +28,20 @@
   run_every(kPollInterval, [this] { poll_targets(); });
 }
 
+Member SimBalancer::make_self(std::uint64_t incarnation) const {
+  Member self;
+  self.name = config_.name;
+  self.zone = config_.zone;
+  self.address = config_.address;
+  self.incarnation = incarnation;
+  return self;
+}
+
+void SimBalancer::make_node(const Member& self) {
+  node_ = make_balancer_node(config_.scheme, {self, config_.faults},
+                             static_cast<BalancerOutput&>(*this));
+}
+
 void SimBalancer::kill() {
   if (is_up()) {
     past_counters_.push_back(node_->counters());
@@ -52,6 +61,9 @@
     total.datagrams_in += past.datagrams_in;
     total.datagrams_relayed += past.datagrams_relayed;
     total.requests += past.requests;
+    for (std::size_t i = 0; i < kGiveUpReasons; ++i) {
+      total.given_up[i] += past.given_up[i];
+    }
   }
   return total;
 }
@@ -126,4 +138,12 @@
 
 void SimBalancer::on_lease(Instant until) { node_->on_lease(until); }
 
+void SimBalancer::on_expelled(Instant now) {
+  context().trace.note(now, config_.name + " was expelled");
+  past_counters_.push_back(node_->counters());
+  const std::uint64_t incarnation = context().random.next();
+  make_node(make_self(incarnation));
+  control_->rejoin(incarnation);
+}
+
 }  // namespace gorsevalve
--- a/src/sim/sim_balancer.h
+++ b/src/sim/sim_balancer.h
@@ -53,6 +53,9 @@
   void send_control(const Endpoint& replica, const NodeMessage& message) override;
   void on_fleet(const FleetState& fleet, Instant now) override;
   void on_lease(Instant until) override;
+  void on_expelled(Instant now) override;
+  [[nodiscard]] Member make_self(std::uint64_t incarnation) const;
+  void make_node(const Member& self);
 
   SimBalancerConfig config_;
   Poll poll_;
--- a/src/sim/world.cc
+++ b/src/sim/world.cc
@@ -236,6 +236,7 @@
   check_callers(result.callers, expectations);
   check_force(expectations, result);
   check_history();
+  count_verdicts(result);
   result.violations = checks_.violations();
   result.trace_hash = trace_.hash();
   result.events = events_.count();
--- a/src/sim/world.h
+++ b/src/sim/world.h
@@ -75,6 +75,7 @@
   Duration longest_force{};
   std::uint64_t datagrams = 0;
   std::uint64_t relayed = 0;
+  std::array<std::uint64_t, kGiveUpReasons> given_up{};
   /// Mean octets a second that a balancer sent to peers, and to control.
   double peer_octets_per_second = 0;
   double node_octets_per_second = 0;
@@ -145,6 +146,7 @@
   void check_force(const Expectations& expectations, RunResult& result);
   void check_history();
   void measure(RunResult& result);
+  void count_verdicts(RunResult& result) const;
 
   WorldConfig config_;
   EventQueue events_;
--- a/src/sim/world_checks.cc
+++ b/src/sim/world_checks.cc
@@ -100,6 +100,15 @@
   }
 }
 
+void World::count_verdicts(RunResult& result) const {
+  for (const auto& balancer : balancers_) {
+    const BalancerCounters counters = balancer->total_counters();
+    for (std::size_t i = 0; i < kGiveUpReasons; ++i) {
+      result.given_up[i] += counters.given_up[i];
+    }
+  }
+}
+
 void World::measure(RunResult& result) {
   for (const auto& service : settings_.services) {
     std::vector<double> loads;
--- a/src/tasks/balancer_task.cc
+++ b/src/tasks/balancer_task.cc
@@ -6,6 +6,7 @@
 #include "codec/archive.h"
 #include "storage/log_store.h"
 #include "tasks/log.h"
+#include "tasks/random_number.h"
 
 namespace gorsevalve {
 namespace {
@@ -51,13 +52,14 @@
       config_(std::move(config)),
       disk_(disk),
       envelope_(config_.cluster, config_.keys, config_.self.address, config_.self.incarnation),
-      balancer_({config_.self, {}}, *this),
+      balancer_(std::make_unique<Balancer>(BalancerConfig{config_.self, {}},
+                                           static_cast<BalancerOutput&>(*this))),
       control_(config_.self, config_.control, std::move(stored), *this),
       network_(loop, [this](ByteView frame) { return on_frame(frame); }) {}
 
 void BalancerTask::start() {
   if (control_.fleet().revision > 0) {
-    balancer_.on_fleet(control_.fleet(), monotonic_now());
+    balancer_->on_fleet(control_.fleet(), monotonic_now());
   }
   socket_->start([this](ByteView datagram, const Endpoint& /*from*/) { on_datagram(datagram); });
   loop_.every(Balancer::kTickInterval, [this] { on_tick(); });
@@ -65,7 +67,7 @@
 
 void BalancerTask::on_datagram(ByteView datagram) {
   if (!Envelope::looks_sealed(datagram)) {
-    balancer_.on_datagram(datagram, monotonic_now());
+    balancer_->on_datagram(datagram, monotonic_now());
     return;
   }
   const auto opened = envelope_.open(datagram);
@@ -73,8 +75,8 @@
     ++messages_refused_;
     return;
   }
-  balancer_.on_peer_message(opened->sender, std::get<PeerMessage>(opened->message),
-                            monotonic_now());
+  balancer_->on_peer_message(opened->sender, std::get<PeerMessage>(opened->message),
+                             monotonic_now());
 }
 
 std::optional<Endpoint> BalancerTask::on_frame(ByteView frame) {
@@ -89,10 +91,10 @@
 
 void BalancerTask::on_tick() {
   const Instant now = monotonic_now();
-  balancer_.on_tick(now);
-  control_.on_tick(balancer_.settled_revision(), now);
+  balancer_->on_tick(now);
+  control_.on_tick(balancer_->settled_revision(), now);
   socket_->flush();
-  if (leaving_ && control_.may_stop() && balancer_.has_released_all(now)) {
+  if (leaving_ && control_.may_stop() && balancer_->has_released_all(now)) {
     may_stop_at_ = may_stop_at_.value_or(now + kLinger);
   }
   if (may_stop_at_ && now >= *may_stop_at_) {
@@ -109,22 +111,22 @@
 
 BalancerSnapshot BalancerTask::snapshot() const {
   BalancerSnapshot snapshot;
-  snapshot.counters = balancer_.counters();
-  snapshot.revision = balancer_.revision();
-  snapshot.settled_revision = balancer_.settled_revision();
+  snapshot.counters = balancer_->counters();
+  snapshot.revision = balancer_->revision();
+  snapshot.settled_revision = balancer_->settled_revision();
   snapshot.digest = fleet_digest(control_.fleet());
-  snapshot.flows = balancer_.flow_count();
-  snapshot.requests = balancer_.request_count();
+  snapshot.flows = balancer_->flow_count();
+  snapshot.requests = balancer_->request_count();
   snapshot.messages_refused = messages_refused_;
   return snapshot;
 }
 
 std::vector<Target> BalancerTask::polled_targets() const {
   std::vector<Target> targets;
-  if (balancer_.view() == nullptr) {
+  if (balancer_->view() == nullptr) {
     return targets;
   }
-  for (const auto& service : balancer_.view()->state().settings.services) {
+  for (const auto& service : balancer_->view()->state().settings.services) {
     for (const auto& target : service.targets) {
       if (target.health.port != 0) {
         targets.push_back(target);
@@ -135,7 +137,7 @@
 }
 
 void BalancerTask::on_target_report(const TargetReport& report) {
-  balancer_.on_target_report(report, monotonic_now());
+  balancer_->on_target_report(report, monotonic_now());
 }
 
 void BalancerTask::send_to_caller(const FlowKey& flow, ByteView message) {
@@ -171,13 +173,21 @@
       log_event(LogLevel::kWarning, "fleet_not_kept", {{"error", kept.error().message}});
     }
   }
-  balancer_.on_fleet(fleet, now);
+  balancer_->on_fleet(fleet, now);
   log_event(LogLevel::kInfo, "revision_in_force",
             {{"revision", fleet.revision},
              {"settings_revision", fleet.settings_revision},
              {"members", fleet.members.size()}});
 }
 
-void BalancerTask::on_lease(Instant until) { balancer_.on_lease(until); }
+void BalancerTask::on_expelled(Instant /*now*/) {
+  config_.self.incarnation = random_number();
+  balancer_ = std::make_unique<Balancer>(BalancerConfig{config_.self, {}},
+                                         static_cast<BalancerOutput&>(*this));
+  control_.rejoin(config_.self.incarnation);
+  log_event(LogLevel::kWarning, "expelled_and_rejoining");
+}
+
+void BalancerTask::on_lease(Instant until) { balancer_->on_lease(until); }
 
 }  // namespace gorsevalve
--- a/src/tasks/balancer_task.h
+++ b/src/tasks/balancer_task.h
@@ -68,12 +68,13 @@
   void send_control(const Endpoint& replica, const NodeMessage& message) override;
   void on_fleet(const FleetState& fleet, Instant now) override;
   void on_lease(Instant until) override;
+  void on_expelled(Instant now) override;
 
   EventLoop& loop_;
   BalancerTaskConfig config_;
   Disk* disk_;
   Envelope envelope_;
-  Balancer balancer_;
+  std::unique_ptr<Balancer> balancer_;
   ControlClient control_;
   std::unique_ptr<UdpSocket> socket_;
   FrameNetwork network_;
--- a/src/tasks/metrics.cc
+++ b/src/tasks/metrics.cc
@@ -6,14 +6,17 @@
 namespace {
 
 MetricSample counter(std::string name, std::string help, std::uint64_t value) {
-  return {"gorsevalve_" + std::move(name) + "_total", std::move(help), static_cast<double>(value),
-          true};
+  return {"gorsevalve_" + std::move(name) + "_total",
+          std::move(help),
+          static_cast<double>(value),
+          true,
+          {}};
 }
 
 }  // namespace
 
 std::vector<MetricSample> to_samples(const BalancerCounters& c) {
-  return {
+  std::vector<MetricSample> samples = {
       counter("datagrams_in", "Datagrams received", c.datagrams_in),
       counter("datagrams_malformed", "Datagrams dropped as malformed", c.datagrams_malformed),
       counter("datagrams_unknown_service", "Datagrams for no known service",
@@ -28,6 +31,7 @@
       counter("requests_dispatched", "Requests sent to a target", c.requests_dispatched),
       counter("requests_duplicate", "Copies of requests seen before", c.requests_duplicate),
       counter("requests_retried", "Requests sent to a second target", c.requests_retried),
+      counter("requests_resent", "Requests sent to the same target again", c.requests_resent),
       counter("answers", "Answers matched to a request", c.answers),
       counter("answers_unmatched", "Answers dropped or passed without a request",
               c.answers_unmatched),
@@ -45,21 +49,30 @@
       counter("dispatches_blocked", "Dispatches to a target that is not the service's",
               c.dispatches_blocked),
   };
+  for (std::size_t i = 0; i < kGiveUpReasons; ++i) {
+    samples.push_back(counter("requests_given_up", "Verdicts by reason", c.given_up[i]));
+    samples.back().reason = to_string(static_cast<GiveUpReason>(i));
+  }
+  return samples;
 }
 
 std::string render_metrics(const std::vector<MetricSample>& samples) {
   std::vector<prometheus::MetricFamily> families;
   for (const auto& sample : samples) {
-    prometheus::MetricFamily family;
-    family.name = sample.name;
-    family.help = sample.help;
-    family.type =
-        sample.is_counter ? prometheus::MetricType::Counter : prometheus::MetricType::Gauge;
+    if (families.empty() || families.back().name != sample.name) {
+      prometheus::MetricFamily& family = families.emplace_back();
+      family.name = sample.name;
+      family.help = sample.help;
+      family.type =
+          sample.is_counter ? prometheus::MetricType::Counter : prometheus::MetricType::Gauge;
+    }
     prometheus::ClientMetric metric;
+    if (!sample.reason.empty()) {
+      metric.label.push_back({"reason", sample.reason});
+    }
     metric.counter.value = sample.value;
     metric.gauge.value = sample.value;
-    family.metric.push_back(metric);
-    families.push_back(std::move(family));
+    families.back().metric.push_back(metric);
   }
   return prometheus::TextSerializer().Serialize(families);
 }
--- a/src/tasks/metrics.h
+++ b/src/tasks/metrics.h
@@ -15,6 +15,8 @@
   std::string help;
   double value = 0;
   bool is_counter = true;
+  /// Value of the label "reason"; empty for none. Samples of one name follow each other.
+  std::string reason{};
 };
 
 /// The counters of a balancer as samples.
