Add the list of deliberate faults and three scenarios that catch the rest

Change: scenarios with two regions, an isolated balancer on a lossy network, and a leader that one replica cannot hear; the revision floor is the client's own rule and is tested there, with replicas that send older revisions.

--- a/src/core/balancer/balancer.cc
+++ b/src/core/balancer/balancer.cc
@@ -182,7 +182,7 @@
 
 void Balancer::on_fleet(FleetState fleet, Instant now) {
   const bool newer = state_.view() == nullptr || fleet.revision > state_.view()->state().revision;
-  if (!newer && !state_.faults().ignore_revision_floor) {
+  if (!newer) {
     return;
   }
   const Revision old_members =
--- a/src/core/balancer/balancer_state.h
+++ b/src/core/balancer/balancer_state.h
@@ -54,7 +54,6 @@
   bool skip_record_before_dispatch = false;
   bool skip_incomplete_check = false;
   bool ignore_seal = false;
-  bool ignore_revision_floor = false;
   bool drop_state_on_handover = false;
 };
 
--- a/src/core/balancer/control_client.cc
+++ b/src/core/balancer/control_client.cc
@@ -67,7 +67,8 @@
   // digest was wrong.
   const bool newer = next.revision > fleet_.revision;
   const bool repairs = update.is_whole && next.revision == fleet_.revision;
-  if ((!newer && !repairs) || fleet_digest(next) != update.digest) {
+  if ((!newer && !repairs && !faults_.ignore_revision_floor) ||
+      fleet_digest(next) != update.digest) {
     return;
   }
   if (!steps.empty() && steps.back().revision == next.revision) {
--- a/src/core/balancer/control_client.h
+++ b/src/core/balancer/control_client.h
@@ -25,6 +25,11 @@
   virtual void on_expelled(Instant now) = 0;
 };
 
+/// Deliberate faults, for the test that shows that the checkers can fail. All off in programs.
+struct ControlClientFaults {
+  bool ignore_revision_floor = false;
+};
+
 class ControlClient {
  public:
   /// `stored` is the fleet state that was kept over a restart, or an empty one.
@@ -35,6 +40,8 @@
   /// `settled_revision` is the balancer's.
   void on_tick(Revision settled_revision, Instant now);
 
+  void set_faults(const ControlClientFaults& faults) { faults_ = faults; }
+
   /// Takes part again as another member, after on_expelled.
   void rejoin(std::uint64_t incarnation);
 
@@ -54,6 +61,7 @@
   Member self_;
   std::vector<Endpoint> replicas_;
   ControlClientOutput& output_;
+  ControlClientFaults faults_;
   FleetState fleet_;
   std::uint64_t digest_ = 0;
   std::size_t replica_ = 0;
--- a/src/core/control/control_node.cc
+++ b/src/core/control/control_node.cc
@@ -64,13 +64,14 @@
 
 void ControlNode::send_update(const Endpoint& to, Revision revision, std::uint64_t digest) {
   const FleetState& fleet = state_.fleet();
-  if (revision > fleet.revision) {
+  if (revision > fleet.revision && !faults_.send_older_revisions) {
     return;
   }
   FleetUpdate update;
   update.digest = state_.digest();
   // A node whose state differs at the same revision, or is too old for the deltas, gets all of it.
-  bool whole = revision == 0 || (revision == fleet.revision && digest != state_.digest());
+  bool whole = revision == 0 || revision > fleet.revision ||
+               (revision == fleet.revision && digest != state_.digest());
   for (Revision at = revision; !whole && at != fleet.revision;) {
     const FleetDelta* delta = state_.delta_after(at);
     whole = delta == nullptr;
--- a/src/core/control/control_node.h
+++ b/src/core/control/control_node.h
@@ -25,6 +25,7 @@
 /// Deliberate faults, for the test that shows that the checkers can fail. All off in programs.
 struct ControlFaults {
   bool accept_before_commit = false;
+  bool send_older_revisions = false;
 };
 
 /// Answer to a submission or a read.
--- /dev/null
+++ b/src/sim/deliberate_faults.h
@@ -0,0 +1,35 @@
+/// Faults that are put into the core on purpose, to show that the checkers can fail: each must be
+/// caught by one of its scenarios.
+#pragma once
+
+#include <functional>
+#include <optional>
+#include <span>
+#include <string_view>
+#include <vector>
+
+#include "sim/scenario.h"
+
+namespace gorsevalve {
+
+struct DeliberateFault {
+  std::string_view name;
+  std::function<void(SimFaults&)> enable;
+  /// Scenarios in which it should show.
+  std::vector<std::string_view> scenarios;
+};
+
+/// Where a fault was caught.
+struct FaultCatch {
+  std::string_view scenario;
+  std::uint64_t seed = 0;
+  Violation violation;
+};
+
+std::span<const DeliberateFault> deliberate_faults();
+
+/// Runs a fault's scenarios with seeds from 1 on until a checker sees it; nothing when none does
+/// within `seeds` seeds of each.
+std::optional<FaultCatch> catch_fault(const DeliberateFault& fault, std::uint64_t seeds);
+
+}  // namespace gorsevalve
--- a/src/sim/scenario.cc
+++ b/src/sim/scenario.cc
@@ -105,6 +105,18 @@
     world.isolate_control(*leader, world.random().between(seconds(2), seconds(10)));
   }
 }
+/// Cuts the leader off from one other replica; the rest still hears both.
+void cut_leader_from_one(World& world) {
+  const auto leader = world.leader();
+  if (!leader) {
+    return;
+  }
+  const std::size_t other = (*leader + 1) % world.controls().size();
+  world.note("cut the leader off from one replica");
+  world.network().block(world.controls()[*leader]->config().address,
+                        world.controls()[other]->config().address);
+  world.events().after(world.random().between(seconds(2), seconds(8)), [&world] { world.heal(); });
+}
 void freeze_leader(World& world) {
   if (const auto leader = world.leader()) {
     world.note("freeze leader");
@@ -226,6 +238,12 @@
        [](World& world) { schedule(world, freeze_balancer, 2); }, kUnplanned},
       {"balancer_isolated", "a balancer loses the control replicas in silence", plain,
        [](World& world) { schedule(world, isolate_balancer, 1); }, kCutOff},
+      {"isolated_and_lossy", "as before, and callers send again since datagrams are lost",
+       [](WorldConfig& config) {
+         config.network.loss = 0.05;
+         config.callers = {4, 40, 0, 0};
+       },
+       [](World& world) { schedule(world, isolate_balancer, 2); }, kCutOff},
       {"zone_cut", "a zone is cut off and comes back", plain,
        [](World& world) { schedule(world, cut_zone, 1); }, kCutOff},
       {"target_killed", "targets die and come back cold", plain,
@@ -267,6 +285,12 @@
          race_operators(world, 2, 3);
        },
        kUnplanned},
+      {"leader_half_cut", "the leader and one other replica do not hear each other", plain,
+       [](World& world) {
+         schedule(world, cut_leader_from_one, 3);
+         race_operators(world, 2, 3);
+       },
+       kUnplanned},
       {"leader_frozen", "the leader freezes and wakes as leader", plain,
        [](World& world) {
          schedule(world, freeze_leader, 2);
@@ -327,6 +351,24 @@
          race_operators(world, 2, 2);
        },
        kCutOff},
+      {"regions_cut", "a region of two zones is cut off from one of three for 85 s",
+       [](WorldConfig& config) {
+         config.zones = 5;
+         config.balancers_per_zone = 1;
+         config.control_replicas = 5;
+         config.network.loss = 0.05;
+         config.callers = {4, 40, 0, 2};
+         config.load_time = seconds(95);
+       },
+       [](World& world) {
+         world.at(seconds(2), [&world] {
+           world.note("cut regions");
+           world.network().cut_group({0, 1});
+         });
+         world.at(seconds(87), [&world] { world.heal(); });
+         race_operators(world, 2, 2);
+       },
+       kCutOff},
       {"everything", "all failures and changes at any moment",
        [](WorldConfig& config) { config.load_time = seconds(40); },
        [](World& world) {
--- a/src/sim/sim_balancer.cc
+++ b/src/sim/sim_balancer.cc
@@ -21,6 +21,7 @@
   make_node(self);
   control_ = std::make_unique<ControlClient>(self, config_.control, stored_,
                                              static_cast<ControlClientOutput&>(*this));
+  control_->set_faults(config_.client_faults);
   if (stored_.revision > 0) {
     node_->on_fleet(stored_, now());
   }
--- a/src/sim/sim_balancer.h
+++ b/src/sim/sim_balancer.h
@@ -18,6 +18,7 @@
   Endpoint address;
   std::vector<Endpoint> control;
   BalancerFaults faults;
+  ControlClientFaults client_faults;
   AffinityScheme scheme = AffinityScheme::kOwners;
 };
 
--- a/src/sim/sim_main.cc
+++ b/src/sim/sim_main.cc
@@ -9,6 +9,7 @@
 #include <thread>
 
 #include "programs/program.h"
+#include "sim/deliberate_faults.h"
 #include "sim/scenario.h"
 
 ABSL_FLAG(std::string, scenario, "all", "name of the scenario, or all");
@@ -187,6 +188,41 @@
   return result.violations.empty() ? kExitOk : kExitFailure;
 }
 
+/// Shows for each deliberate fault which scenario and seed catch it.
+int show_faults() {
+  const std::uint64_t seeds = absl::GetFlag(FLAGS_seeds);
+  const auto faults = deliberate_faults();
+  std::vector<std::optional<FaultCatch>> caught(faults.size());
+  std::atomic<std::size_t> next{0};
+  std::vector<std::thread> threads;
+  for (int i = 0; i < absl::GetFlag(FLAGS_jobs); ++i) {
+    threads.emplace_back([&] {
+      for (std::size_t at = next++; at < faults.size(); at = next++) {
+        caught[at] = catch_fault(faults[at], seeds);
+      }
+    });
+  }
+  for (auto& thread : threads) {
+    thread.join();
+  }
+  int missed = 0;
+  for (std::size_t i = 0; i < faults.size(); ++i) {
+    const std::string name(faults[i].name);
+    if (!caught[i]) {
+      ++missed;
+      std::printf("%-30s NOT CAUGHT within %llu seeds\n", name.c_str(),
+                  static_cast<unsigned long long>(seeds));
+      continue;
+    }
+    std::printf("%-30s caught: scenario=%s seed=%llu %s: %s\n", name.c_str(),
+                std::string(caught[i]->scenario).c_str(),
+                static_cast<unsigned long long>(caught[i]->seed),
+                std::string(to_string(caught[i]->violation.invariant)).c_str(),
+                caught[i]->violation.detail.c_str());
+  }
+  return missed == 0 ? kExitOk : kExitFailure;
+}
+
 int run(const std::vector<char*>& words) {
   const std::string command = words.size() > 1 ? words[1] : "";
   if (command == "run") {
@@ -198,7 +234,10 @@
   if (command == "replay") {
     return replay();
   }
-  return fail("usage: gorsevalve-sim run|list|replay [flags]", kExitUsage);
+  if (command == "faults") {
+    return show_faults();
+  }
+  return fail("usage: gorsevalve-sim run|list|replay|faults [flags]", kExitUsage);
 }
 
 }  // namespace
@@ -208,6 +247,7 @@
   absl::SetProgramUsageMessage(
       "gorsevalve-sim run --scenario=NAME|all --first_seed=N --seeds=K [--jobs=J]\n"
       "gorsevalve-sim list\n"
-      "gorsevalve-sim replay --scenario=NAME --seed=N [--trace]");
+      "gorsevalve-sim replay --scenario=NAME --seed=N [--trace]\n"
+      "gorsevalve-sim faults --seeds=K [--jobs=J]");
   return gorsevalve::run(absl::ParseCommandLine(argc, argv));
 }
--- a/src/sim/world.cc
+++ b/src/sim/world.cc
@@ -116,6 +116,7 @@
   config.zone = zone_name(zone);
   config.address = {address_of(kBalancerGroup, number), 6000};
   config.faults = config_.faults.balancer;
+  config.client_faults = config_.faults.client;
   config.scheme = config_.scheme;
   for (const auto& control : controls_) {
     config.control.push_back(control->config().address);
--- a/src/sim/world.h
+++ b/src/sim/world.h
@@ -21,6 +21,7 @@
   BalancerFaults balancer;
   ReplicaFaults replica;
   ControlFaults control;
+  ControlClientFaults client;
 };
 
 struct CallerCounts {
