--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -61,7 +61,7 @@
     """A deployment: control replicas, balancers, targets, fabric and platform."""
 
     def __init__(self, settings, folder, build, network, balancers_per_zone=2, fabric_flags=(),
-                 target_flags=(), key="demo-cluster-key-0123456789"):
+                 target_flags=(), key="demo-cluster-key-0123456789", forwarded=False):
         self.settings_path = pathlib.Path(settings)
         self.settings = tomllib.loads(self.settings_path.read_text())
         self.folder = pathlib.Path(folder)
@@ -71,6 +71,7 @@
         self.per_zone = balancers_per_zone
         self.fabric_flags = list(fabric_flags)
         self.target_flags = list(target_flags)
+        self.forwarded = forwarded
         self.processes = {}
         self.zones = sorted({t["zone"] for s in self.settings["service"] for t in s["target"]})
         self.key_file = self._secret("keys", key)
@@ -105,6 +106,13 @@
     def balancer_admin(self, i):
         return f"{self.ip(201, i)}:6080"
 
+    # Where a process binds when a forwarder stands at its address.
+    def control_listen(self, i):
+        return f"{self.ip(220, i)}:7000"
+
+    def balancer_listen(self, i):
+        return f"{self.ip(221, i)}:6000"
+
     @property
     def platform_address(self):
         return f"{self.ip(202, 1)}:9000"
@@ -138,6 +146,8 @@
             f"--token_file={self.token_file}",
             f"--data_folder={self.folder}/control-{i}.data",
         ]
+        if self.forwarded:
+            command.append(f"--listen={self.control_listen(i)}")
         return command + (["--initialize"] if initialize else [])
 
     def initialize_control(self, i):
@@ -154,6 +164,7 @@
             "--control=" + ",".join(self.control_address(n) for n in self.control_numbers),
             f"--cluster={self.settings['deployment']}", f"--key_file={self.key_file}",
             f"--data_folder={self.folder}/balancer-{i}.data",
+            *([f"--listen={self.balancer_listen(i)}"] if self.forwarded else []),
         ])
 
     def announce(self, i, state):
--- a/src/programs/balancer_main.cc
+++ b/src/programs/balancer_main.cc
@@ -20,6 +20,8 @@
 ABSL_FLAG(std::string, zone, "", "zone that this balancer is in");
 ABSL_FLAG(std::string, address, "", "UDP address for datagrams, IP:port");
 ABSL_FLAG(std::string, egress, "", "where datagrams for callers go, IP:port");
+ABSL_FLAG(std::string, listen, "",
+          "address to bind when others reach --address through a forwarder, IP:port");
 ABSL_FLAG(std::string, admin, "", "HTTP address for health and metrics, IP:port");
 ABSL_FLAG(std::vector<std::string>, control, {}, "addresses of the control replicas, IP:port,...");
 ABSL_FLAG(std::string, cluster, "gorsevalve", "name of the cluster");
@@ -133,6 +135,9 @@
   if (config.control.empty()) {
     std::exit(fail("--control is needed", kExitUsage));
   }
+  if (const std::string listen = absl::GetFlag(FLAGS_listen); !listen.empty()) {
+    config.listen = require_endpoint("listen", listen);
+  }
   config.cluster = absl::GetFlag(FLAGS_cluster);
   auto keys = read_key_file(require_value("key_file", absl::GetFlag(FLAGS_key_file)));
   if (!keys) {
--- a/src/programs/control_main.cc
+++ b/src/programs/control_main.cc
@@ -13,6 +13,8 @@
 ABSL_FLAG(std::string, name, "", "name of this replica in logs");
 ABSL_FLAG(std::string, zone, "", "zone that this replica is in");
 ABSL_FLAG(std::string, address, "", "TCP address for replicas and balancers, IP:port");
+ABSL_FLAG(std::string, listen, "",
+          "address to bind when others reach --address through a forwarder, IP:port");
 ABSL_FLAG(std::string, admin, "", "HTTP address of the administration API, IP:port");
 ABSL_FLAG(std::vector<std::string>, replicas, {},
           "addresses of all replicas of the cluster, IP:port,...");
@@ -33,6 +35,9 @@
   ControlTaskConfig config;
   config.address = require_endpoint("address", absl::GetFlag(FLAGS_address));
   config.replicas = require_endpoints("replicas", absl::GetFlag(FLAGS_replicas));
+  if (const std::string listen = absl::GetFlag(FLAGS_listen); !listen.empty()) {
+    config.listen = require_endpoint("listen", listen);
+  }
   config.cluster = absl::GetFlag(FLAGS_cluster);
   config.incarnation = random_number();
   auto keys = read_key_file(require_value("key_file", absl::GetFlag(FLAGS_key_file)));
--- a/src/tasks/balancer_task.cc
+++ b/src/tasks/balancer_task.cc
@@ -35,7 +35,7 @@
 
 tl::expected<std::unique_ptr<BalancerTask>, std::string> BalancerTask::open(
     EventLoop& loop, BalancerTaskConfig config, Disk* disk) {
-  auto socket = UdpSocket::open(loop, config.self.address);
+  auto socket = UdpSocket::open(loop, config.listen.value_or(config.self.address));
   if (!socket) {
     return tl::unexpected(socket.error());
   }
--- a/src/tasks/balancer_task.h
+++ b/src/tasks/balancer_task.h
@@ -20,6 +20,8 @@
 
 struct BalancerTaskConfig {
   Member self;
+  /// Where it binds, when others reach its address through a forwarder.
+  std::optional<Endpoint> listen;
   /// Where datagrams for callers go: the fabric's address for them.
   Endpoint egress;
   std::vector<Endpoint> control;
--- a/src/tasks/control_task.cc
+++ b/src/tasks/control_task.cc
@@ -84,7 +84,7 @@
   self.node_ =
       std::make_unique<ControlNode>(replica, (*identity)->first_replicas, std::move(*stored),
                                     kDefaultPartitions, storage, output, monotonic_now());
-  const auto listening = self.network_.listen(self.config_.address);
+  const auto listening = self.network_.listen(self.config_.listen.value_or(self.config_.address));
   if (!listening) {
     return tl::unexpected(listening.error());
   }
--- a/src/tasks/control_task.h
+++ b/src/tasks/control_task.h
@@ -18,6 +18,8 @@
 
 struct ControlTaskConfig {
   Endpoint address;
+  /// Where it binds, when others reach `address` through a forwarder.
+  std::optional<Endpoint> listen;
   /// All replicas of the cluster, this one included.
   std::vector<Endpoint> replicas;
   std::string cluster;
