--- a/src/core/control/replica.cc
+++ b/src/core/control/replica.cc
@@ -400,7 +400,10 @@
     change_replicas(now);
     if (!replicas_.is_voter(config_.id)) {
       role_ = ReplicaRole::kFollower;
+      return;
     }
+    // Followers serve balancers, too: they learn of the commit at once, not with the next append.
+    replicate_to_all(now);
   }
 }
 
--- a/src/sim/sim_operator.cc
+++ b/src/sim/sim_operator.cc
@@ -1,5 +1,7 @@
 #include "sim/sim_operator.h"
 
+#include <utility>
+
 namespace gorsevalve {
 namespace {
 
@@ -51,8 +53,19 @@
   send();
 }
 
+SimControl& SimOperator::choose_replica() {
+  // A hint is used once: the leader that it names may be gone.
+  const std::optional<Endpoint> named = std::exchange(leader_, std::nullopt);
+  for (const auto& replica : replicas_) {
+    if (named && replica->config().address == *named) {
+      return *replica;
+    }
+  }
+  return *replicas_[context_.random.below(replicas_.size())];
+}
+
 void SimOperator::send() {
-  SimControl& replica = *replicas_[context_.random.below(replicas_.size())];
+  SimControl& replica = choose_replica();
   const bool lost = context_.random.chance(loss_);
   context_.events.after(context_.random.between(kMinDelay, kMaxDelay), [this, &replica, lost,
                                                                         command = *submission_] {
@@ -69,13 +82,18 @@
 }
 
 void SimOperator::on_result(const SubmissionId& id, const SubmissionResult& result) {
-  if (result.status != ControlStatus::kOk) {
-    return;
-  }
   const bool current = submission_ && submission_->id == id;
   if (!current) {
     return;
   }
+  if (result.status == ControlStatus::kNotLeader && result.leader) {
+    leader_ = result.leader;
+    send();
+    return;
+  }
+  if (result.status != ControlStatus::kOk) {
+    return;
+  }
   context_.checks.on_told({result.outcome, submission_->base_revision});
   context_.trace.note(context_.events.now(),
                       name_ + " " + id +
--- a/src/sim/sim_operator.h
+++ b/src/sim/sim_operator.h
@@ -36,6 +36,8 @@
   /// Reads settings and base from a replica that proves its leadership.
   [[nodiscard]] bool read_current(SettingsCommand& command);
   void send();
+  /// The replica that was named as leader last, or any.
+  [[nodiscard]] SimControl& choose_replica();
   void on_result(const SubmissionId& id, const SubmissionResult& result);
 
   SimContext context_;
@@ -44,6 +46,7 @@
   double loss_ = 0.01;
   std::deque<Edit> edits_;
   std::optional<SettingsCommand> submission_;
+  std::optional<Endpoint> leader_;
   std::uint64_t next_number_ = 1;
   bool stepping_ = false;
   std::map<Revision, Instant> accepted_;
