--- /dev/null
+++ b/src/bench/bench_fleet.h
@@ -0,0 +1,78 @@
+/// Balancer cores in memory, for benchmarks.
+#pragma once
+
+#include <array>
+#include <deque>
+#include <memory>
+
+#include "codec/archive.h"
+#include "core/balancer/balancer.h"
+
+namespace gorsevalve {
+
+/// A fleet state with this many members and targets.
+FleetState make_bench_fleet(std::uint32_t members, std::uint32_t targets,
+                            std::uint32_t services = 1,
+                            std::uint32_t partitions = kDefaultPartitions);
+
+/// A balancer that owns everything, and callers whose requests are answered at once.
+class BenchBalancer : private BalancerOutput {
+ public:
+  explicit BenchBalancer(const FleetState& fleet);
+
+  /// Opens flows with numbers below `count` that are not open yet, with one request each.
+  void open_flows(std::uint32_t count);
+  /// One request and its answer on a flow.
+  void exchange(std::uint32_t flow);
+
+ private:
+  void send_to_caller(const FlowKey& /*flow*/, ByteView /*message*/) override {}
+  void send_to_target(const Endpoint& target, const ProxyHeader& header, ByteView message) override;
+  void relay(const Endpoint& /*peer*/, const ProxyHeader& /*header*/,
+             ByteView /*payload*/) override {}
+  void send_peer(const Endpoint& /*peer*/, const PeerMessage& /*message*/) override {}
+
+  FleetState fleet_;
+  Balancer balancer_;
+  Instant now_{std::chrono::seconds(1000)};
+  std::uint32_t opened_ = 0;
+  Bytes request_;
+  Bytes answer_;
+  std::array<std::uint8_t, 512> buffer_{};
+  Endpoint last_target_;
+  ProxyHeader last_header_;
+};
+
+/// Two balancers that exchange their messages in memory: the first has flows, and leaves.
+class BenchPair {
+ public:
+  explicit BenchPair(std::uint32_t flows);
+  ~BenchPair();
+  BenchPair(const BenchPair&) = delete;
+  BenchPair& operator=(const BenchPair&) = delete;
+
+  /// Takes the first balancer out of the members and delivers messages until all is moved.
+  void hand_over();
+  [[nodiscard]] std::size_t flows_at_second() const;
+  [[nodiscard]] std::size_t messages() const { return messages_; }
+  [[nodiscard]] std::size_t octets() const { return octets_; }
+
+ private:
+  struct Node;
+  struct Queued {
+    Endpoint from;
+    Endpoint to;
+    PeerMessage message;
+  };
+  void deliver_all();
+
+  FleetState fleet_;
+  std::deque<Queued> queue_;
+  std::unique_ptr<Node> first_;
+  std::unique_ptr<Node> second_;
+  Instant now_{std::chrono::seconds(1000)};
+  std::size_t messages_ = 0;
+  std::size_t octets_ = 0;
+};
+
+}  // namespace gorsevalve
--- /dev/null
+++ b/src/bench/bench_main.cc
@@ -0,0 +1,126 @@
+/// gorsevalve-bench: costs of the packet path, of state and of handovers, through Google Benchmark.
+/// Counters carry what a time alone does not tell. See docs/MEASUREMENTS.md.
+#include <benchmark/benchmark.h>
+#include <malloc.h>
+
+#include <array>
+#include <memory>
+
+#include "bench/bench_fleet.h"
+#include "codec/envelope.h"
+#include "core/control/control_state.h"
+
+namespace gorsevalve {
+namespace {
+
+/// One request and its answer on an established flow, by flows held and targets.
+void decision(benchmark::State& state) {
+  const auto flows = static_cast<std::uint32_t>(state.range(0));
+  const auto targets = static_cast<std::uint32_t>(state.range(1));
+  BenchBalancer bench(make_bench_fleet(1, targets));
+  bench.open_flows(flows);
+  std::uint32_t next = 0;
+  for (auto _ : state) {
+    bench.exchange(next);
+    next = (next + 7919) % flows;
+  }
+  state.SetItemsProcessed(state.iterations());
+}
+BENCHMARK(decision)->Args({1000, 15})->Args({100000, 15})->Args({500000, 15})->Args({100000, 4200});
+
+/// Memory that a flow takes at its owner, as the allocator counts it.
+void flow_memory(benchmark::State& state) {
+  const auto flows = static_cast<std::uint32_t>(state.range(0));
+  double octets = 0;
+  for (auto _ : state) {
+    BenchBalancer bench(make_bench_fleet(1, 15));
+    bench.open_flows(1000);
+    const auto before = mallinfo2();
+    bench.open_flows(flows);
+    const auto after = mallinfo2();
+    octets = static_cast<double>(after.uordblks + after.hblkhd - before.uordblks - before.hblkhd) /
+             (flows - 1000);
+  }
+  state.counters["octets_per_flow"] = octets;
+}
+BENCHMARK(flow_memory)->Arg(100000)->Arg(500000)->Iterations(1);
+
+/// Moves all flows of one balancer to another one, message by message.
+void handover(benchmark::State& state) {
+  const auto flows = static_cast<std::uint32_t>(state.range(0));
+  for (auto _ : state) {
+    state.PauseTiming();
+    auto pair = std::make_unique<BenchPair>(flows);
+    state.ResumeTiming();
+    pair->hand_over();
+    state.PauseTiming();
+    state.counters["moved"] = static_cast<double>(pair->flows_at_second());
+    state.counters["messages"] = static_cast<double>(pair->messages());
+    state.counters["octets"] = static_cast<double>(pair->octets());
+    pair.reset();
+    state.ResumeTiming();
+  }
+  state.SetItemsProcessed(state.iterations() * flows);
+}
+BENCHMARK(handover)->Arg(10000)->Arg(100000)->Unit(benchmark::kMillisecond)->Iterations(3);
+
+/// Tables of one revision, by members and targets.
+void fleet_view(benchmark::State& state) {
+  const auto members = static_cast<std::uint32_t>(state.range(0));
+  const auto targets = static_cast<std::uint32_t>(state.range(1));
+  const auto services = static_cast<std::uint32_t>(state.range(2));
+  const FleetState fleet =
+      make_bench_fleet(members, targets, services, static_cast<std::uint32_t>(state.range(3)));
+  for (auto _ : state) {
+    FleetView view(fleet);
+    benchmark::DoNotOptimize(view.members_revision());
+  }
+}
+BENCHMARK(fleet_view)
+    ->Args({6, 19, 2, 256})
+    ->Args({750, 4200, 2200, 256})
+    ->Args({750, 4200, 2200, 4096})
+    ->Unit(benchmark::kMillisecond);
+
+/// A message between balancers: sealed by one, opened by the other.
+void envelope(benchmark::State& state) {
+  const ClusterKeys keys{{"bench-key-0123456789"}};
+  Envelope sender("bench", keys, {1, 1}, 1);
+  Envelope receiver("bench", keys, {2, 1}, 2);
+  ReplicateRequest request;
+  request.changes.requests.emplace_back();
+  const PeerMessage message = request;
+  for (auto _ : state) {
+    const Bytes sealed = sender.seal(message);
+    benchmark::DoNotOptimize(receiver.open(sealed).has_value());
+  }
+}
+BENCHMARK(envelope);
+
+/// Applies a log of settings changes, as a replica does after its restart.
+void replay(benchmark::State& state) {
+  const auto entries = static_cast<LogIndex>(state.range(0));
+  std::vector<LogEntry> log;
+  SettingsCommand command;
+  command.settings = make_bench_fleet(1, 19).settings;
+  for (LogIndex index = 1; index <= entries; ++index) {
+    command.id = std::to_string(index);
+    command.base_revision = index - 1;
+    command.settings.services[0].targets[0].weight = static_cast<std::uint32_t>(index % 100 + 1);
+    log.push_back({1, index, EntryType::kSettings, encode_archive(command)});
+  }
+  for (auto _ : state) {
+    ControlState control(kDefaultPartitions);
+    for (const auto& entry : log) {
+      control.apply(entry);
+    }
+    benchmark::DoNotOptimize(control.digest());
+  }
+  state.SetItemsProcessed(state.iterations() * static_cast<std::int64_t>(entries));
+}
+BENCHMARK(replay)->Arg(100)->Arg(1000)->Arg(10000)->Unit(benchmark::kMillisecond);
+
+}  // namespace
+}  // namespace gorsevalve
+
+BENCHMARK_MAIN();
