Fix a doubled execution after a stale copy, and flat costs of targets, tables, messages

A superseded owner also asked again every tick. Change: a copy is complete only if no newer owner has sealed the partition; kept state gives way to complete state only; removed incarnations are not taken in again; a superseded owner waits a second and counts as incomplete. Cause of the poor figures: a linear search for a target; two deadline entries a request; both tables made anew for each revision; OpenSSL's algorithm looked up for each message; XXH3 for 16-octet scores.

--- a/src/bench/bench_fleet.cc
+++ b/src/bench/bench_fleet.cc
@@ -83,8 +83,13 @@
 }
 
 void BenchBalancer::open_flows(std::uint32_t count) {
+  constexpr std::uint32_t kPerTick = 100;
   for (; opened_ < count; ++opened_) {
     exchange(opened_);
+    if (opened_ % kPerTick == 0) {
+      now_ += Balancer::kTickInterval;
+      balancer_.on_tick(now_);
+    }
   }
 }
 
--- a/src/bench/bench_main.cc
+++ b/src/bench/bench_main.cc
@@ -82,6 +82,19 @@
     ->Args({750, 4200, 2200, 4096})
     ->Unit(benchmark::kMillisecond);
 
+/// The same after one member joined, with the tables that did not change taken over.
+void fleet_view_next(benchmark::State& state) {
+  const FleetState before = make_bench_fleet(749, 4200, 2200, 4096);
+  FleetState after = make_bench_fleet(750, 4200, 2200, 4096);
+  after.previous_members = before.members;
+  const FleetView previous(before);
+  for (auto _ : state) {
+    FleetView view(after, &previous);
+    benchmark::DoNotOptimize(view.members_revision());
+  }
+}
+BENCHMARK(fleet_view_next)->Unit(benchmark::kMillisecond);
+
 /// A message between balancers: sealed by one, opened by the other.
 void envelope(benchmark::State& state) {
   const ClusterKeys keys{{"bench-key-0123456789"}};
--- a/src/codec/envelope.cc
+++ b/src/codec/envelope.cc
@@ -1,7 +1,5 @@
 #include "codec/envelope.h"
 
-#include <openssl/crypto.h>
-#include <openssl/hmac.h>
 #include <sys/stat.h>
 #include <xxhash.h>
 
@@ -18,21 +16,9 @@
 constexpr std::array<std::uint8_t, 3> kMagic = {'G', 'V', 'M'};
 constexpr std::uint8_t kVersion = 1;
 constexpr std::size_t kHeaderSize = 36;
-constexpr std::size_t kCodeSize = 16;
+constexpr std::size_t kCodeSize = std::tuple_size_v<MessageCode>;
 constexpr std::size_t kMinKeySize = 16;
 
-using Code = std::array<std::uint8_t, kCodeSize>;
-
-Code authentication_code(const std::string& key, ByteView bytes) {
-  std::array<std::uint8_t, EVP_MAX_MD_SIZE> digest{};
-  unsigned size = 0;
-  HMAC(EVP_sha256(), key.data(), static_cast<int>(key.size()), bytes.data(), bytes.size(),
-       digest.data(), &size);
-  Code code{};
-  std::copy_n(digest.begin(), kCodeSize, code.begin());
-  return code;
-}
-
 void put(Bytes& out, std::uint64_t value, std::size_t size) {
   for (std::size_t i = size; i > 0; --i) {
     out.push_back(static_cast<std::uint8_t>(value >> (8U * (i - 1))));
@@ -124,11 +110,15 @@
   return true;
 }
 
-Envelope::Envelope(std::string cluster, ClusterKeys keys, Endpoint self, std::uint64_t incarnation)
+Envelope::Envelope(const std::string& cluster, const ClusterKeys& keys, Endpoint self,
+                   std::uint64_t incarnation)
     : cluster_(XXH3_64bits(cluster.data(), cluster.size())),
-      keys_(std::move(keys)),
       self_(self),
-      incarnation_(incarnation) {}
+      incarnation_(incarnation) {
+  for (const auto& key : keys.keys) {
+    coders_.emplace_back(key);
+  }
+}
 
 bool Envelope::looks_sealed(ByteView datagram) {
   return datagram.size() >= kHeaderSize + kCodeSize &&
@@ -148,7 +138,7 @@
   put(out, ++sequence_, 8);
   put(out, cluster_, 8);
   out.insert(out.end(), body.begin(), body.end());
-  const Code code = authentication_code(keys_.keys.front(), out);
+  const MessageCode code = coders_.front().code(out);
   out.insert(out.end(), code.begin(), code.end());
   return out;
 }
@@ -172,13 +162,11 @@
   return seal_body(MessageKind::kReplica, static_cast<std::uint8_t>(message.body.index()), body);
 }
 
-bool Envelope::has_valid_code(ByteView sealed) const {
+bool Envelope::has_valid_code(ByteView sealed) {
   const ByteView signed_part = sealed.first(sealed.size() - kCodeSize);
   const ByteView code = sealed.last(kCodeSize);
-  return std::any_of(keys_.keys.begin(), keys_.keys.end(), [&](const std::string& key) {
-    const Code expected = authentication_code(key, signed_part);
-    return CRYPTO_memcmp(expected.data(), code.data(), kCodeSize) == 0;
-  });
+  return std::any_of(coders_.begin(), coders_.end(),
+                     [&](MessageCoder& coder) { return coder.matches(signed_part, code); });
 }
 
 tl::expected<OpenedMessage, EnvelopeError> Envelope::open(ByteView sealed) {
--- a/src/codec/envelope.h
+++ b/src/codec/envelope.h
@@ -18,6 +18,7 @@
 #include <tl/expected.hpp>
 #include <vector>
 
+#include "codec/message_code.h"
 #include "core/balancer/peer_messages.h"
 #include "core/control/node_messages.h"
 #include "core/control/replica_messages.h"
@@ -59,7 +60,9 @@
 /// Seals outgoing messages and opens incoming ones. One per process and thread.
 class Envelope {
  public:
-  Envelope(std::string cluster, ClusterKeys keys, Endpoint self, std::uint64_t incarnation);
+  /// There must be at least one key.
+  Envelope(const std::string& cluster, const ClusterKeys& keys, Endpoint self,
+           std::uint64_t incarnation);
 
   [[nodiscard]] Bytes seal(const PeerMessage& message);
   [[nodiscard]] Bytes seal(const ReplicaMessage& message);
@@ -85,10 +88,11 @@
   };
 
   Bytes seal_body(MessageKind kind, std::uint8_t type, ByteView body);
-  [[nodiscard]] bool has_valid_code(ByteView sealed) const;
+  [[nodiscard]] bool has_valid_code(ByteView sealed);
 
   std::uint64_t cluster_;
-  ClusterKeys keys_;
+  /// One for each key, the first one for sending.
+  std::vector<MessageCoder> coders_;
   Endpoint self_;
   std::uint64_t incarnation_;
   std::uint64_t sequence_ = 0;
--- /dev/null
+++ b/src/codec/message_code.cc
@@ -0,0 +1,40 @@
+#include "codec/message_code.h"
+
+#include <openssl/core_names.h>
+#include <openssl/crypto.h>
+#include <openssl/params.h>
+
+#include <algorithm>
+
+namespace gorsevalve {
+
+MessageCoder::MessageCoder(const std::string& key) {
+  EVP_MAC* algorithm = EVP_MAC_fetch(nullptr, "HMAC", nullptr);
+  context_.reset(EVP_MAC_CTX_new(algorithm));
+  EVP_MAC_free(algorithm);
+  std::string digest = "SHA256";
+  const std::array<OSSL_PARAM, 2> parameters = {
+      OSSL_PARAM_construct_utf8_string(OSSL_MAC_PARAM_DIGEST, digest.data(), 0),
+      OSSL_PARAM_construct_end()};
+  EVP_MAC_init(context_.get(), reinterpret_cast<const unsigned char*>(key.data()), key.size(),
+               parameters.data());
+}
+
+MessageCode MessageCoder::code(ByteView message) {
+  std::array<std::uint8_t, EVP_MAX_MD_SIZE> digest{};
+  std::size_t size = 0;
+  EVP_MAC_init(context_.get(), nullptr, 0, nullptr);
+  EVP_MAC_update(context_.get(), message.data(), message.size());
+  EVP_MAC_final(context_.get(), digest.data(), &size, digest.size());
+  MessageCode code{};
+  std::copy_n(digest.begin(), code.size(), code.begin());
+  return code;
+}
+
+bool MessageCoder::matches(ByteView message, ByteView expected) {
+  const MessageCode own = code(message);
+  return expected.size() == own.size() &&
+         CRYPTO_memcmp(own.data(), expected.data(), own.size()) == 0;
+}
+
+}  // namespace gorsevalve
--- a/src/core/balancer/balancer.cc
+++ b/src/core/balancer/balancer.cc
@@ -187,7 +187,7 @@
   }
   const Revision old_members =
       state_.view() == nullptr ? 0 : state_.view()->state().members_revision;
-  state_.set_view(std::make_shared<const FleetView>(std::move(fleet)));
+  state_.set_view(std::make_shared<const FleetView>(std::move(fleet), state_.view().get()));
   board_.adopt(*state_.view(), now);
   for (Partition* partition : state_.partitions().used()) {
     if (partition->role == PartitionRole::kOwner) {
--- a/src/core/balancer/fleet_view.cc
+++ b/src/core/balancer/fleet_view.cc
@@ -83,25 +83,45 @@
   return assignments;
 }
 
-FleetView::FleetView(FleetState state)
-    : state_(std::move(state)),
-      partitions_(assign_partitions(state_.members, state_.partitions)),
-      previous_partitions_(assign_partitions(state_.previous_members, state_.partitions)) {
+FleetView::FleetView(FleetState state, const FleetView* previous) : state_(std::move(state)) {
+  assign_all_partitions(previous);
   for (const auto& service : state_.settings.services) {
-    add_service(service);
+    add_service(service, previous);
   }
 }
 
-void FleetView::add_service(const Service& service) {
+void FleetView::assign_all_partitions(const FleetView* previous) {
+  const bool same_count = previous != nullptr && previous->state_.partitions == state_.partitions;
+  const auto assign = [&](const std::vector<Member>& members) {
+    if (same_count && previous->state_.members == members) {
+      return previous->partitions_;
+    }
+    if (same_count && previous->state_.previous_members == members) {
+      return previous->previous_partitions_;
+    }
+    return std::make_shared<const std::vector<PartitionAssignment>>(
+        assign_partitions(members, state_.partitions));
+  };
+  partitions_ = assign(state_.members);
+  previous_partitions_ = assign(state_.previous_members);
+}
+
+void FleetView::add_service(const Service& service, const FleetView* previous) {
+  const ServiceView* before = previous == nullptr ? nullptr : previous->service(service.address);
   ServiceView view;
-  view.service = &service;
-  view.repeatable_paths = hash_paths(service.repeatable_paths);
-  view.once_only_paths = hash_paths(service.once_only_paths);
-  std::vector<RendezvousCandidate> candidates;
-  for (const auto& target : service.targets) {
-    candidates.push_back({packed(target.address), target.draining ? 0 : target.weight});
+  if (before != nullptr && *before->service == service) {
+    view = *before;
+  } else {
+    view.repeatable_paths = hash_paths(service.repeatable_paths);
+    view.once_only_paths = hash_paths(service.once_only_paths);
+    std::vector<RendezvousCandidate> candidates;
+    for (const auto& target : service.targets) {
+      view.targets.emplace(target.address, static_cast<std::uint32_t>(candidates.size()));
+      candidates.push_back({packed(target.address), target.draining ? 0 : target.weight});
+    }
+    view.slots = assign_slots(candidates, slot_count(service), packed(service.address));
   }
-  view.slots = assign_slots(candidates, slot_count(service), packed(service.address));
+  view.service = &service;
   services_.emplace(service.address, std::move(view));
 }
 
@@ -111,10 +131,8 @@
 }
 
 const Target* FleetView::target(const ServiceView& service, const Endpoint& address) const {
-  const auto& targets = service.service->targets;
-  const auto found = std::find_if(targets.begin(), targets.end(),
-                                  [&](const Target& target) { return target.address == address; });
-  return found == targets.end() ? nullptr : &*found;
+  const auto found = service.targets.find(address);
+  return found == service.targets.end() ? nullptr : &service.service->targets[found->second];
 }
 
 PartitionId FleetView::partition_of(const FlowKey& flow, const ServiceView& service) const {
@@ -124,19 +142,19 @@
 }
 
 const Member* FleetView::owner(PartitionId partition) const {
-  return member_at(state_.members, partitions_[partition].owner);
+  return member_at(state_.members, (*partitions_)[partition].owner);
 }
 
 const Member* FleetView::backup(PartitionId partition) const {
-  return member_at(state_.members, partitions_[partition].backup);
+  return member_at(state_.members, (*partitions_)[partition].backup);
 }
 
 const Member* FleetView::previous_owner(PartitionId partition) const {
-  return member_at(state_.previous_members, previous_partitions_[partition].owner);
+  return member_at(state_.previous_members, (*previous_partitions_)[partition].owner);
 }
 
 const Member* FleetView::previous_backup(PartitionId partition) const {
-  return member_at(state_.previous_members, previous_partitions_[partition].backup);
+  return member_at(state_.previous_members, (*previous_partitions_)[partition].backup);
 }
 
 const Target* FleetView::slot_target(const ServiceView& service, std::uint64_t hash) const {
@@ -156,14 +174,14 @@
 }
 
 double FleetView::owned_share(const Endpoint& member) const {
-  if (partitions_.empty()) {
+  if (partitions_->empty()) {
     return 0;
   }
   const auto owned =
-      std::count_if(partitions_.begin(), partitions_.end(), [&](const PartitionAssignment& a) {
+      std::count_if(partitions_->begin(), partitions_->end(), [&](const PartitionAssignment& a) {
         return a.owner != kUnassigned && state_.members[a.owner].address == member;
       });
-  return static_cast<double>(owned) / static_cast<double>(partitions_.size());
+  return static_cast<double>(owned) / static_cast<double>(partitions_->size());
 }
 
 const Member* FleetView::member(const Endpoint& address, std::uint64_t incarnation) const {
--- a/src/core/balancer/fleet_view.h
+++ b/src/core/balancer/fleet_view.h
@@ -6,6 +6,7 @@
 #include <absl/container/flat_hash_map.h>
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <vector>
 
@@ -25,6 +26,8 @@
   const Service* service = nullptr;
   /// Index into Service::targets for each slot, or kUnassigned; the size is a power of two.
   std::vector<std::uint32_t> slots;
+  /// Index into Service::targets by address.
+  absl::flat_hash_map<Endpoint, std::uint32_t> targets;
   /// Path rules as hashes.
   std::vector<std::uint64_t> repeatable_paths;
   std::vector<std::uint64_t> once_only_paths;
@@ -37,7 +40,8 @@
 
 class FleetView {
  public:
-  explicit FleetView(FleetState state);
+  /// Tables that did not change since `previous` (which may be nullptr) are taken from it.
+  explicit FleetView(FleetState state, const FleetView* previous = nullptr);
   FleetView(const FleetView&) = delete;
   FleetView& operator=(const FleetView&) = delete;
 
@@ -76,12 +80,14 @@
   [[nodiscard]] const Member* member(const Endpoint& address, std::uint64_t incarnation) const;
 
  private:
-  void add_service(const Service& service);
+  void assign_all_partitions(const FleetView* previous);
+  void add_service(const Service& service, const FleetView* previous);
   [[nodiscard]] const Target* slot_target(const ServiceView& service, std::uint64_t hash) const;
 
   FleetState state_;
-  std::vector<PartitionAssignment> partitions_;
-  std::vector<PartitionAssignment> previous_partitions_;
+  /// Shared between the views of one membership.
+  std::shared_ptr<const std::vector<PartitionAssignment>> partitions_;
+  std::shared_ptr<const std::vector<PartitionAssignment>> previous_partitions_;
   absl::flat_hash_map<Endpoint, ServiceView> services_;
 };
 
--- a/src/core/balancer/handover.cc
+++ b/src/core/balancer/handover.cc
@@ -168,8 +168,8 @@
   if (!is_own(state_.view()->previous_backup(partition.id)) || partition.copy == nullptr) {
     return false;
   }
+  const bool complete = partition.copy->is_complete(partition.sealed_revision);
   partition.sealed_revision = std::max(partition.sealed_revision, partition.acquisition->revision);
-  const bool complete = partition.copy->complete;
   const std::unique_ptr<StateCopy> copy = std::move(partition.copy);
   partition.incomplete_until = std::max(partition.incomplete_until, copy->incomplete_until);
   import(partition, BackupStore::content(*copy), now);
@@ -229,7 +229,7 @@
 
 void Handover::take_state(Partition& partition, const TakeoverChunk& chunk, Instant now) {
   Acquisition& acquisition = *partition.acquisition;
-  if (acquisition.keeps_state && chunk.holding != HoldingState::kNone) {
+  if (acquisition.keeps_state && chunk.holding == HoldingState::kComplete) {
     acquisition.keeps_state = false;
     binding_.clear(partition);
   }
@@ -286,7 +286,7 @@
   binding_.clear(partition);
 }
 
-void Handover::offer_copy(Partition& partition) {
+void Handover::offer_copy(Partition& partition, Revision sealed_before) {
   if (partition.copy == nullptr && partition.outgoing) {
     // Frozen state that another process asked for before: it may have decided since.
     partition.outgoing->holding = HoldingState::kIncomplete;
@@ -297,24 +297,25 @@
   outgoing.chunks.emplace_back();
   if (partition.copy != nullptr) {
     outgoing.chunks = cut(BackupStore::content(*partition.copy));
-    outgoing.holding =
-        partition.copy->complete ? HoldingState::kComplete : HoldingState::kIncomplete;
+    outgoing.holding = partition.copy->is_complete(sealed_before) ? HoldingState::kComplete
+                                                                  : HoldingState::kIncomplete;
     outgoing.incomplete_until = partition.copy->incomplete_until;
   }
   partition.outgoing = std::move(outgoing);
 }
 
-void Handover::prepare_outgoing(Partition& partition, Revision revision, const Endpoint& to) {
+void Handover::prepare_outgoing(Partition& partition, const TakeoverRequest& request,
+                                const Endpoint& to) {
   if (partition.role == PartitionRole::kOwner) {
     freeze(partition);
   } else if (partition.outgoing && partition.outgoing->to == to &&
-             partition.outgoing->revision == revision) {
+             partition.outgoing->revision == request.members_revision) {
     return;
   } else {
-    offer_copy(partition);
+    offer_copy(partition, partition.sealed_revision);
   }
   partition.outgoing->to = to;
-  partition.outgoing->revision = revision;
+  partition.outgoing->revision = request.members_revision;
 }
 
 bool Handover::is_stale(const Partition& partition, const TakeoverRequest& request) const {
@@ -344,8 +345,8 @@
     state_.output().send_peer(from, reply);
     return;
   }
+  prepare_outgoing(partition, request, from);
   partition.sealed_revision = request.members_revision;
-  prepare_outgoing(partition, request.members_revision, from);
   OutgoingTransfer& outgoing = *partition.outgoing;
   outgoing.last_asked = now;
   if (request.chunk >= outgoing.chunks.size()) {
@@ -365,6 +366,7 @@
       acquiring.push_back(partition);
     }
     abandon_unclaimed(*partition, now);
+    retry_superseded(*partition, now);
     if (partition->outgoing && now - partition->outgoing->last_asked > timing::kOutgoingLifetime) {
       partition->outgoing.reset();
     }
@@ -398,7 +400,16 @@
 void Handover::on_superseded(Partition& partition, Instant now) {
   ++state_.counters().partitions_superseded;
   abandon(partition);
-  if (is_own(state_.view()->owner(partition.id))) {
+  partition.incomplete_until = now + timing::kIncompleteTakeover;
+  partition.retry_at = now + timing::kTakeoverSourceTimeout;
+}
+
+void Handover::retry_superseded(Partition& partition, Instant now) {
+  if (!partition.retry_at || now < *partition.retry_at) {
+    return;
+  }
+  partition.retry_at.reset();
+  if (partition.role == PartitionRole::kNone && is_own(state_.view()->owner(partition.id))) {
     start_acquisition(partition, now);
   }
 }
--- a/src/core/balancer/handover.h
+++ b/src/core/balancer/handover.h
@@ -52,6 +52,7 @@
   void start_acquisition(Partition& partition, Instant now);
   void abandon(Partition& partition);
   void abandon_unclaimed(Partition& partition, Instant now);
+  void retry_superseded(Partition& partition, Instant now);
   void take_state(Partition& partition, const TakeoverChunk& chunk, Instant now);
   /// Share of all partitions that this process decides for, also those it is about to hand over.
   [[nodiscard]] double decided_share() const;
@@ -66,9 +67,9 @@
   void set_backup(Partition& partition, Revision revision);
   void cancel_if_source_keeps(Partition& partition);
   [[nodiscard]] bool is_stale(const Partition& partition, const TakeoverRequest& request) const;
-  void prepare_outgoing(Partition& partition, Revision revision, const Endpoint& to);
+  void prepare_outgoing(Partition& partition, const TakeoverRequest& request, const Endpoint& to);
   void freeze(Partition& partition);
-  static void offer_copy(Partition& partition);
+  static void offer_copy(Partition& partition, Revision sealed_before);
 
   BalancerState& state_;
   FlowBinding& binding_;
--- a/src/core/balancer/partition.h
+++ b/src/core/balancer/partition.h
@@ -102,6 +102,12 @@
   Instant last_change;
   absl::btree_map<FlowKey, Pin> pins;
   absl::btree_map<RequestId, Request> requests;
+
+  /// True when it has all records of the last owner. After an owner of a newer revision than the
+  /// copy's has sealed the partition, that owner may have decided with another backup.
+  [[nodiscard]] bool is_complete(Revision sealed_revision) const {
+    return complete && revision >= sealed_revision;
+  }
 };
 
 struct Partition {
@@ -113,6 +119,8 @@
 
   /// Since when this process decides although the members give the partition to another one.
   std::optional<Instant> unclaimed_since;
+  /// After this process was superseded: when it may ask for the state again.
+  std::optional<Instant> retry_at;
   /// As owner: revision since which owner and backup are the same, and the backup.
   Revision owner_revision = 0;
   std::optional<Endpoint> backup;
--- a/src/core/balancer/request_actions.cc
+++ b/src/core/balancer/request_actions.cc
@@ -34,7 +34,6 @@
     context.partition.store.index(record);
     context.record = record;
     record->give_up_at = context.now + request_timeout(&context.service);
-    state_.set_deadline(context.partition.id, *record, record->give_up_at);
   }
   context.record->state = record_state;
   if (context.target) {
--- a/src/core/balancer/request_filters.cc
+++ b/src/core/balancer/request_filters.cc
@@ -189,6 +189,7 @@
                      context.now);
     return FilterStatus::kStop;
   }
+  state_.set_deadline(context.partition.id, record, record.give_up_at);
   target.waiting[static_cast<std::size_t>(own_class)].push_back({context.partition.id, record.id});
   return FilterStatus::kStop;
 }
--- a/src/core/control/membership.cc
+++ b/src/core/control/membership.cc
@@ -42,7 +42,7 @@
 }
 
 bool MembershipController::add_planned(const FleetState& fleet, const NodeRegistry& nodes,
-                                       Instant now, MembersCommand& change) {
+                                       Instant now, MembersCommand& change) const {
   bool any = false;
   for (const auto& [address, entry] : nodes.nodes()) {
     if (now - entry.heard_at > control_timing::kMemberTimeout) {
@@ -50,7 +50,8 @@
     }
     const Member& seen = entry.status.member;
     const Member* member = find_member(fleet, address);
-    const bool joins = member == nullptr && seen.state == MemberState::kActive;
+    const bool joins = member == nullptr && seen.state == MemberState::kActive &&
+                       !removed_incarnations_.contains(seen.incarnation);
     const bool leaves =
         member != nullptr && member->incarnation == seen.incarnation && member->state != seen.state;
     if (joins || leaves) {
@@ -61,6 +62,14 @@
   return any;
 }
 
+void MembershipController::remember_removed(const FleetState& fleet, const MembersCommand& change) {
+  for (const auto& address : change.removed) {
+    if (const Member* member = find_member(fleet, address)) {
+      removed_incarnations_.insert(member->incarnation);
+    }
+  }
+}
+
 bool MembershipController::is_settled(const FleetState& fleet, const NodeRegistry& nodes) {
   return std::all_of(fleet.members.begin(), fleet.members.end(), [&](const Member& member) {
     return is_settled_at(nodes.find(member.address), fleet.members_revision);
@@ -77,6 +86,7 @@
   MembersCommand change;
   add_lost(fleet, nodes, now, change);
   if (!change.removed.empty()) {
+    remember_removed(fleet, change);
     return change;
   }
   const bool settled =
--- a/src/core/control/membership.h
+++ b/src/core/control/membership.h
@@ -1,7 +1,9 @@
 /// The leader's decisions about the balancer members: who joins, leaves and is removed, and when.
 #pragma once
 
+#include <cstdint>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "core/control/control_state.h"
@@ -33,13 +35,17 @@
  private:
   void add_lost(const FleetState& fleet, const NodeRegistry& nodes, Instant now,
                 MembersCommand& change) const;
-  static bool add_planned(const FleetState& fleet, const NodeRegistry& nodes, Instant now,
-                          MembersCommand& change);
+  bool add_planned(const FleetState& fleet, const NodeRegistry& nodes, Instant now,
+                   MembersCommand& change) const;
+  void remember_removed(const FleetState& fleet, const MembersCommand& change);
 
   Instant elected_at_;
   Revision watched_revision_ = 0;
   Instant watched_since_;
   std::optional<Instant> planned_since_;
+  /// Removed processes. One that runs comes back as another member; until it does, late reports
+  /// about it count for nothing.
+  std::set<std::uint64_t> removed_incarnations_;
 };
 
 }  // namespace gorsevalve
--- a/src/core/routing/bounded_rendezvous.cc
+++ b/src/core/routing/bounded_rendezvous.cc
@@ -1,9 +1,6 @@
 #include "core/routing/bounded_rendezvous.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
-#include <array>
 #include <functional>
 #include <numeric>
 #include <optional>
@@ -12,6 +9,15 @@
 namespace gorsevalve {
 namespace {
 
+constexpr std::uint64_t kGoldenRatio = 0x9E3779B97F4A7C15ULL;
+
+/// The SplitMix64 finalizer.
+constexpr std::uint64_t mix(std::uint64_t value) {
+  value = (value ^ (value >> 30U)) * 0xBF58476D1CE4E5B9ULL;
+  value = (value ^ (value >> 27U)) * 0x94D049BB133111EBULL;
+  return value ^ (value >> 31U);
+}
+
 /// Number of slots that each candidate may hold: its share by largest remainder.
 std::vector<std::uint32_t> quotas(const std::vector<RendezvousCandidate>& candidates,
                                   std::uint32_t slot_count, std::uint64_t total_weight) {
@@ -133,8 +139,7 @@
 }  // namespace
 
 std::uint64_t rendezvous_score(std::uint64_t key, std::uint32_t slot, std::uint64_t salt) {
-  const std::array<std::uint64_t, 2> words = {key, slot};
-  return XXH3_64bits_withSeed(words.data(), sizeof(words), salt);
+  return mix(mix(key ^ salt) + (slot + 1) * kGoldenRatio);
 }
 
 std::vector<std::uint32_t> assign_slots(const std::vector<RendezvousCandidate>& candidates,
--- a/src/core/routing/bounded_rendezvous.h
+++ b/src/core/routing/bounded_rendezvous.h
@@ -27,7 +27,8 @@
 std::vector<std::uint32_t> assign_slots(const std::vector<RendezvousCandidate>& candidates,
                                         std::uint32_t slot_count, std::uint64_t salt);
 
-/// Score of a candidate for a slot, uniform over 64 bits.
+/// Score of a candidate for a slot, uniform over 64 bits: the SplitMix64 finalizer (Steele, Lea and
+/// Flood, "Fast splittable pseudorandom number generators", 2014) over key, salt and slot.
 std::uint64_t rendezvous_score(std::uint64_t key, std::uint32_t slot, std::uint64_t salt);
 
 }  // namespace gorsevalve
