--- a/src/core/balancer/balancer.cc
+++ b/src/core/balancer/balancer.cc
@@ -344,7 +344,12 @@
                    : Duration(std::chrono::milliseconds(service->service->request_timeout_ms));
   }
   record.give_up_at = now + lifetime;
-  state_.set_deadline(partition.id, record, record.give_up_at);
+  if (record.is_outstanding()) {
+    // What the previous owner sent may have been lost on the way.
+    actions_.plan_resend(partition, record, now);
+  } else {
+    state_.set_deadline(partition.id, record, record.give_up_at);
+  }
 }
 
 void Balancer::on_acquired(Partition& partition, Instant now) {
