Measure balance and downloads against the baselines

Cause: the baselines broke no flow in the emulator although they send the blocks of one download to two targets: the stand-in answered any block. Callers also all began at once, which is an overload of its own. Change: a target refuses a block of a document that was not begun there; callers begin within two seconds; scenarios with 1,500 feeds and with downloads while targets change; summaries give the imbalance of requests and of open feeds.

--- a/src/codec/coap.h
+++ b/src/codec/coap.h
@@ -40,6 +40,7 @@
 constexpr std::uint8_t kChanged = 0x44;
 constexpr std::uint8_t kContent = 0x45;
 constexpr std::uint8_t kNotFound = 0x84;
+constexpr std::uint8_t kEntityIncomplete = 0x88;
 constexpr std::uint8_t kServiceUnavailable = 0xA3;
 constexpr std::uint8_t kGatewayTimeout = 0xA4;
 }  // namespace coap_code
--- a/src/sim/scenario.cc
+++ b/src/sim/scenario.cc
@@ -40,10 +40,11 @@
   });
 }
 
+template <std::size_t kService>
 void add_target(World& world) {
-  const Target target = world.spare_target(0);
+  const Target target = world.spare_target(kService);
   world.change_settings(
-      [target](Settings& settings) { settings.services[0].targets.push_back(target); });
+      [target](Settings& settings) { settings.services[kService].targets.push_back(target); });
 }
 
 /// Takes a target out that has been drained before.
@@ -71,6 +72,7 @@
 
 void planned_restart(World& world) { world.restart_balancer(any_balancer(world)); }
 void planned_drain(World& world) { world.drain_target(0, world.random().below(15)); }
+void drain_second_service(World& world) { world.drain_target(1, world.random().below(2)); }
 void planned_join(World& world) { world.add_balancer(); }
 void planned_leave(World& world) { world.remove_balancer(any_balancer(world)); }
 
@@ -184,9 +186,44 @@
        },
        [](World& world) { world.at(seconds(2), [&world] { roll(world, 0); }); }, kPlannedLossless},
       {"target_added", "targets come in cold", lossless,
-       [](World& world) { schedule(world, add_target, 2); }, kPlannedLossless},
+       [](World& world) { schedule(world, add_target<0>, 2); }, kPlannedLossless},
       {"target_drained", "a target drains", lossless,
        [](World& world) { schedule(world, planned_drain, 2); }, kPlannedLossless},
+      {"many_feeds", "1,500 feeds over 15 targets: the balance of flows",
+       [](WorldConfig& config) {
+         lossless(config);
+         config.callers = {1500, 10, 20, 0};
+         config.feed_interval = seconds(5);
+       },
+       [](World&) {}, kPlannedLossless},
+      {"many_feeds_drain", "the same while targets drain and come in, and balancers restart",
+       [](WorldConfig& config) {
+         lossless(config);
+         config.callers = {1500, 10, 20, 10};
+         config.feed_interval = seconds(5);
+         config.load_time = seconds(60);
+       },
+       [](World& world) {
+         schedule(world, planned_drain, 1);
+         schedule(world, add_target<0>, 1);
+         schedule(world, planned_restart, 1);
+         schedule(world, change_weight, 2);
+       },
+       kPlannedLossless},
+      {"downloads_in_changes", "block-wise downloads while their service's targets change",
+       [](WorldConfig& config) {
+         lossless(config);
+         config.callers = {4, 4, 4, 8};
+         config.service_time = milliseconds(15);
+         config.pause = milliseconds(20);
+       },
+       [](World& world) {
+         schedule(world, add_target<1>, 3);
+         schedule(world, drain_second_service, 1);
+         schedule(world, change_weight, 4);
+         schedule(world, planned_restart, 1);
+       },
+       kPlannedLossless},
       {"target_removed",
        "a target is taken out without a drain; its feeds move",
        [](WorldConfig& /*config*/) {},
@@ -204,7 +241,7 @@
          schedule(world, planned_drain, 1);
          schedule(world, planned_join, 1);
          schedule(world, change_weight, 2);
-         schedule(world, add_target, 1);
+         schedule(world, add_target<0>, 1);
        },
        kPlannedLossless},
       {"planned_lossy", "the same on a network that loses datagrams",
@@ -375,7 +412,7 @@
          const std::vector<Action> actions = {
              planned_restart, planned_drain, planned_join,     change_weight,  kill_balancer,
              freeze_balancer, cut_zone,      isolate_balancer, kill_control,   wipe_control,
-             isolate_leader,  freeze_leader, kill_target,      lose_datagrams, add_target};
+             isolate_leader,  freeze_leader, kill_target,      lose_datagrams, add_target<0>};
          for (int i = 0; i < 8; ++i) {
            schedule(world, actions[world.random().below(actions.size())], 1);
          }
--- a/src/sim/sim_main.cc
+++ b/src/sim/sim_main.cc
@@ -3,6 +3,7 @@
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
 
+#include <algorithm>
 #include <atomic>
 #include <cstdio>
 #include <mutex>
@@ -29,7 +30,10 @@
   std::uint64_t failed = 0;
   std::uint64_t violations = 0;
   CallerStats callers;
+  /// Of the first service: requests run, and feeds open.
   std::vector<double> imbalance;
+  std::vector<double> feed_imbalance;
+  std::size_t flows_held = 0;
   Duration longest_force{};
   std::uint64_t datagrams = 0;
   std::uint64_t relayed = 0;
@@ -44,8 +48,9 @@
   summary.callers.add(result.callers);
   summary.callers.updates.clear();
   summary.callers.latencies.clear();
-  summary.imbalance.insert(summary.imbalance.end(), result.imbalance.begin(),
-                           result.imbalance.end());
+  summary.imbalance.push_back(result.imbalance.front());
+  summary.feed_imbalance.push_back(result.feed_imbalance);
+  summary.flows_held += result.flows_held;
   summary.longest_force = std::max(summary.longest_force, result.longest_force);
   summary.datagrams += result.datagrams;
   summary.relayed += result.relayed;
@@ -61,6 +66,11 @@
               first.detail.c_str());
 }
 
+double quantile(std::vector<double> values, double share) {
+  std::sort(values.begin(), values.end());
+  return values[static_cast<std::size_t>(share * static_cast<double>(values.size() - 1))];
+}
+
 void print_summary(const Scenario& scenario, const Summary& summary) {
   const auto runs = static_cast<double>(summary.runs);
   const double per_hundred = summary.datagrams == 0 ? 0
@@ -69,7 +79,8 @@
   std::printf(
       "%-26s seeds=%llu failed=%llu requests=%llu answers=%llu broken=%llu feed_moves=%llu "
       "not_run=%llu may_have_run=%llu timeouts=%llu force_max_ms=%lld relayed=%.0f%% "
-      "peer_Bps=%.0f node_Bps=%.0f\n",
+      "peer_Bps=%.0f node_Bps=%.0f imbalance_p50=%.2f imbalance_p99=%.2f feed_imbalance_p50=%.2f "
+      "feed_imbalance_p99=%.2f flows_held=%.0f\n",
       std::string(scenario.name).c_str(), static_cast<unsigned long long>(summary.runs),
       static_cast<unsigned long long>(summary.failed),
       static_cast<unsigned long long>(summary.callers.requests),
@@ -80,7 +91,9 @@
       static_cast<unsigned long long>(summary.callers.verdicts_may_have_run),
       static_cast<unsigned long long>(summary.callers.timeouts),
       static_cast<long long>(summary.longest_force.count() / 1000), per_hundred,
-      summary.peer_octets / runs, summary.node_octets / runs);
+      summary.peer_octets / runs, summary.node_octets / runs, quantile(summary.imbalance, 0.5),
+      quantile(summary.imbalance, 0.99), quantile(summary.feed_imbalance, 0.5),
+      quantile(summary.feed_imbalance, 0.99), static_cast<double>(summary.flows_held) / runs);
   std::fflush(stdout);
 }
 
--- a/src/sim/world.cc
+++ b/src/sim/world.cc
@@ -6,6 +6,8 @@
 namespace {
 
 constexpr Duration kStartLimit = std::chrono::seconds(40);
+/// Callers begin at random moments within this time.
+constexpr Duration kStartSpread = std::chrono::seconds(2);
 constexpr Duration kQuietLimit = std::chrono::seconds(120);
 constexpr Duration kWatchInterval = std::chrono::milliseconds(20);
 constexpr Duration kStep = std::chrono::milliseconds(50);
@@ -140,6 +142,7 @@
       caller.flow = {{address_of(kCallerGroup, number), 20000}, service};
       caller.ports = kind == CallerKind::kLookup ? 512 : 1;
       caller.seed = config_.seed * 1000003 + number;
+      caller.start_after = random_.between(Duration::zero(), kStartSpread);
       caller.pause = config_.pause;
       caller.feed_interval = config_.feed_interval;
       callers_.add(caller);
--- a/src/sim/world.h
+++ b/src/sim/world.h
@@ -74,6 +74,10 @@
   CallerStats callers;
   /// Maximum over mean of the requests that the targets of each service ran, weighted.
   std::vector<double> imbalance;
+  /// The same of the feeds open at the targets of the first service when the load ends.
+  double feed_imbalance = 0;
+  /// Flows held by all balancers when the load ends.
+  std::size_t flows_held = 0;
   /// Longest time from acceptance to force at a reachable balancer.
   Duration longest_force{};
   std::uint64_t datagrams = 0;
@@ -149,6 +153,10 @@
   void check_force(const Expectations& expectations, RunResult& result);
   void check_history();
   void measure(RunResult& result);
+  /// Maximum over mean of a load of the targets of a service, weighted, without those that were
+  /// drained or came late.
+  [[nodiscard]] double imbalance(const Service& service,
+                                 const std::function<double(const SimTarget&)>& load) const;
   void count_verdicts(RunResult& result) const;
 
   WorldConfig config_;
--- a/src/sim/world_checks.cc
+++ b/src/sim/world_checks.cc
@@ -1,6 +1,5 @@
 /// Checks and measurements at the end of a simulated run.
 #include <algorithm>
-#include <numeric>
 
 #include "sim/world.h"
 
@@ -100,6 +99,22 @@
   }
 }
 
+double World::imbalance(const Service& service,
+                        const std::function<double(const SimTarget&)>& load) const {
+  double sum = 0;
+  double most = 0;
+  double weights = 0;
+  for (const auto& target : service.targets) {
+    if (!unloaded_targets_.contains(target.address)) {
+      const double value = load(*targets_.at(target.address));
+      sum += value;
+      weights += target.weight;
+      most = std::max(most, value / target.weight);
+    }
+  }
+  return sum > 0 ? most / (sum / weights) : 0;
+}
+
 void World::count_verdicts(RunResult& result) const {
   for (const auto& balancer : balancers_) {
     const BalancerCounters counters = balancer->total_counters();
@@ -111,18 +126,13 @@
 
 void World::measure(RunResult& result) {
   for (const auto& service : settings_.services) {
-    std::vector<double> loads;
-    for (const auto& target : service.targets) {
-      if (!unloaded_targets_.contains(target.address)) {
-        loads.push_back(static_cast<double>(targets_.at(target.address)->requests_run()) /
-                        target.weight);
-      }
-    }
-    const double mean =
-        std::accumulate(loads.begin(), loads.end(), 0.0) / static_cast<double>(loads.size());
-    const double maximum = *std::max_element(loads.begin(), loads.end());
-    result.imbalance.push_back(mean > 0 ? maximum / mean : 0);
+    result.imbalance.push_back(imbalance(service, [](const SimTarget& target) {
+      return static_cast<double>(target.requests_run());
+    }));
   }
+  result.feed_imbalance = imbalance(settings_.services[0], [](const SimTarget& target) {
+    return static_cast<double>(target.model().open_feeds());
+  });
   const double seconds = std::chrono::duration<double>(events_.now() - load_start_).count();
   double peer = 0;
   double node = 0;
@@ -130,6 +140,7 @@
     const BalancerCounters counters = balancer->total_counters();
     result.datagrams += counters.datagrams_in;
     result.relayed += counters.datagrams_relayed;
+    result.flows_held += balancer->is_up() ? balancer->node()->flow_count() : 0;
     const auto meter = network_.meters().find(balancer->config().address);
     if (meter != network_.meters().end()) {
       peer += static_cast<double>(meter->second[static_cast<std::size_t>(TrafficKind::kPeer)]);
--- a/src/standins/caller_model.cc
+++ b/src/standins/caller_model.cc
@@ -57,7 +57,7 @@
       random_(config_.seed),
       next_message_id_(static_cast<std::uint16_t>(random_())),
       first_port_(config_.flow.caller.port),
-      next_work_(now) {}
+      next_work_(now + config_.start_after) {}
 
 bool CallerModel::is_idle() const { return !outstanding_ && next_block_ == 0; }
 
@@ -239,6 +239,13 @@
 }
 
 void CallerModel::on_block(const CoapSummary& summary, const std::string& text, Instant now) {
+  if (summary.code == coap_code::kEntityIncomplete) {
+    // The target that answers is not the one that the download began at.
+    ++stats_.broken_flows;
+    next_block_ = 0;
+    finish(now, config_.pause);
+    return;
+  }
   const std::string expected = download_content(document_id_);
   const bool right = summary.block2 && summary.block2->number == next_block_ &&
                      expected.compare(document_.size(), text.size(), text) == 0;
--- a/src/standins/caller_model.h
+++ b/src/standins/caller_model.h
@@ -62,6 +62,8 @@
   /// Distinguishes the ids of this caller from all others'.
   std::string name;
   std::uint64_t seed = 1;
+  /// Time before the first piece of work.
+  Duration start_after{};
   /// Pause between two pieces of work.
   Duration pause = std::chrono::milliseconds(200);
   Duration feed_interval = std::chrono::milliseconds(500);
--- a/src/standins/target_model.cc
+++ b/src/standins/target_model.cc
@@ -193,7 +193,8 @@
     const std::string text = "done " + id;
     reply.payload.assign(text.begin(), text.end());
   } else if (path == target_path::kDownload) {
-    answered_[MessageKey{job.header.flow, summary->message_id}] = run_download(*summary, id);
+    answered_[MessageKey{job.header.flow, summary->message_id}] =
+        run_download(job.header.flow, *summary, id);
     answer(job.header, answered_[MessageKey{job.header.flow, summary->message_id}]);
     return;
   } else if (path == target_path::kLookup) {
@@ -208,17 +209,25 @@
   answered_[MessageKey{job.header.flow, summary->message_id}] = std::move(message);
 }
 
-Bytes TargetModel::run_download(const CoapSummary& summary, const std::string& id) {
+Bytes TargetModel::run_download(const FlowKey& flow, const CoapSummary& summary,
+                                const std::string& id) {
   const std::string content = download_content(id);
   const std::uint32_t number = summary.block2 ? summary.block2->number : 0;
+  if (number == 0) {
+    downloads_[flow] = id;
+  }
+  const bool begun_here = downloads_[flow] == id;
   const std::size_t start = std::min(std::size_t{number} * kDownloadBlockSize, content.size());
   const std::size_t size = std::min(kDownloadBlockSize, content.size() - start);
   CoapMessage reply;
   reply.type = summary.type == CoapType::kConfirmable ? CoapType::kAcknowledgement
                                                       : CoapType::kNonConfirmable;
-  reply.code = coap_code::kContent;
+  reply.code = begun_here ? coap_code::kContent : coap_code::kEntityIncomplete;
   reply.message_id = summary.message_id;
   reply.token = summary.token;
+  if (!begun_here) {
+    return encode_coap(reply);
+  }
   reply.block2 = Block{number, start + size < content.size(), kDownloadBlockExponent};
   reply.payload.assign(content.begin() + static_cast<std::ptrdiff_t>(start),
                        content.begin() + static_cast<std::ptrdiff_t>(start + size));
--- a/src/standins/target_model.h
+++ b/src/standins/target_model.h
@@ -109,7 +109,7 @@
   void answer(const ProxyHeader& header, const Bytes& message);
   void run_feed(const Job& job, const CoapSummary& summary, const std::string& id, Instant now);
   void notify(Feed& feed, CoapType type, std::uint16_t message_id, Instant now);
-  Bytes run_download(const CoapSummary& summary, const std::string& id);
+  Bytes run_download(const FlowKey& flow, const CoapSummary& summary, const std::string& id);
   [[nodiscard]] std::string query_id() const;
   [[nodiscard]] Duration service_time(Instant now) const;
 
@@ -120,6 +120,9 @@
   std::deque<Job> running_;
   std::deque<Job> waiting_;
   std::map<std::string, std::uint32_t> executions_;
+  /// Document that each flow fetches here. A block of another document than the one begun here is
+  /// refused, so a download that was sent to two targets is noticed.
+  std::map<FlowKey, std::string> downloads_;
   absl::btree_map<TokenKey, Feed> feeds_;
   /// Answers by message id, for duplicates (RFC 7252 section 4.5).
   absl::flat_hash_map<MessageKey, Bytes> answered_;
