Copy a request to the backup once less

Cause: dispatch marked a request as changed although the backup has it as sent since its record, and the feed's registration matters only once it is open.

--- a/src/core/balancer/answer_path.cc
+++ b/src/core/balancer/answer_path.cc
@@ -141,7 +141,7 @@
   ++record.retries;
   actions_.binding().bind(partition, record.flow, target->address, now);
   ++state_.counters().requests_retried;
-  actions_.dispatch(partition, record, record.request);
+  actions_.dispatch(record, record.request);
   actions_.plan_resend(partition, record, now);
   return true;
 }
--- a/src/core/balancer/request_actions.cc
+++ b/src/core/balancer/request_actions.cc
@@ -56,7 +56,7 @@
   return true;
 }
 
-void RequestActions::dispatch(Partition& partition, RequestRecord& record, ByteView message) {
+void RequestActions::dispatch(RequestRecord& record, ByteView message) {
   if (!send_to_target(record, message)) {
     return;
   }
@@ -64,9 +64,6 @@
   ++record.version;
   ++state_.board().at(record.target).outstanding;
   ++state_.counters().requests_dispatched;
-  if (record.kind != RequestKind::kRepeatable) {
-    replicator_.mark_changed(partition, record);
-  }
 }
 
 void RequestActions::plan_resend(Partition& partition, RequestRecord& record, Instant now) {
@@ -142,8 +139,9 @@
   record.feed.moved = true;
   Bytes message = record.request;
   set_coap_message_id(message, flow->next_message_id++);
-  dispatch(partition, record, message);
+  dispatch(record, message);
   record.state = RequestState::kAnswered;
+  replicator_.mark_changed(partition, record);
   --state_.board().at(target).outstanding;
   state_.set_deadline(partition.id, record, now + timing::kFeedIdle);
   ++state_.counters().feeds_moved;
--- a/src/core/balancer/request_actions.h
+++ b/src/core/balancer/request_actions.h
@@ -21,8 +21,9 @@
   /// Returns whether it was sent.
   bool send_to_target(const RequestRecord& record, ByteView message);
 
-  /// Sends a request to its target for the first time and counts it.
-  void dispatch(Partition& partition, RequestRecord& record, ByteView message);
+  /// Sends a request to its target for the first time and counts it. The backup need not hear of
+  /// it: it has a once-only request as sent since its record, and a feed matters once it is open.
+  void dispatch(RequestRecord& record, ByteView message);
 
   /// Plans the next look at a dispatched request: the next send of a repeatable one, or the moment
   /// to give up.
--- a/src/core/balancer/request_filters.cc
+++ b/src/core/balancer/request_filters.cc
@@ -202,7 +202,7 @@
                      context.now);
     return FilterStatus::kStop;
   }
-  actions_.dispatch(context.partition, record, context.message);
+  actions_.dispatch(record, context.message);
   actions_.plan_resend(context.partition, record, context.now);
   return FilterStatus::kContinue;
 }
