--- a/src/programs/control_admin.cc
+++ b/src/programs/control_admin.cc
@@ -14,6 +14,7 @@
 #include "settings/settings_file.h"
 #include "tasks/log.h"
 #include "tasks/metrics.h"
+#include "tasks/submission_body.h"
 
 namespace gorsevalve {
 namespace {
@@ -21,7 +22,6 @@
 using nlohmann::json;
 
 constexpr std::size_t kMinTokenSize = 16;
-constexpr std::size_t kMaxIdSize = 128;
 
 json to_json(const SubmissionOutcome& outcome) {
   return {{"id", outcome.id},
@@ -231,25 +231,18 @@
 }
 
 void ControlAdmin::on_submission(Number number, const HttpRequest& request) {
-  const json body = json::parse(request.body, nullptr, false);
-  const bool well_formed = body.is_object() && body.contains("id") && body["id"].is_string() &&
-                           body.contains("base_revision") &&
-                           body["base_revision"].is_number_unsigned() && body.contains("text") &&
-                           body["text"].is_string();
-  if (!well_formed || body["id"].get<std::string>().empty() ||
-      body["id"].get<std::string>().size() > kMaxIdSize) {
-    server_->respond(number, {400, "application/json",
-                              error_body("needs \"id\" (1 to 128 characters), \"base_revision\" (a "
-                                         "number) and \"text\"")});
+  auto body = parse_submission_body(request.body);
+  if (!body) {
+    server_->respond(number, {400, "application/json", error_body(body.error())});
     return;
   }
   SettingsCommand command;
-  command.id = body["id"];
-  command.base_revision = body["base_revision"];
-  command.author = body.value("author", std::string());
-  command.text = body["text"];
+  command.id = std::move(body->id);
+  command.base_revision = body->base_revision;
+  command.author = std::move(body->author);
+  command.text = std::move(body->text);
   command.submitted_at_s = static_cast<std::int64_t>(std::time(nullptr));
-  const std::string file = body.value("file", std::string("settings"));
+  const std::string file = body->file;
   auto settings = parse_settings(command.text, file);
   if (!settings) {
     server_->respond(number,
--- a/tests/unit/test_fuzz.cc
+++ b/tests/unit/test_fuzz.cc
@@ -12,6 +12,7 @@
 #include "settings/settings_file.h"
 #include "sim/sim_disk.h"
 #include "storage/log_store.h"
+#include "tasks/submission_body.h"
 #include "tasks/target_poller.h"
 
 namespace gorsevalve {
@@ -143,13 +144,17 @@
     });
   }
 
-  TEST_CASE("settings files and health reports") {
+  TEST_CASE("settings files, submissions and health reports") {
     const std::string text =
         "schema = 1\ndeployment = \"d\"\n[[service]]\nname = \"s\"\naddress = \"10.0.0.1:1\"\n"
         "[[service.target]]\nname = \"t\"\naddress = \"10.0.1.1:1\"\nzone = \"z\"\n";
     fuzz(Bytes(text.begin(), text.end()), [](const Bytes& bytes) {
       (void)parse_settings(std::string(bytes.begin(), bytes.end()), "f");
     });
+    const std::string submission = R"({"id":"a","base_revision":1,"text":"x","author":"b"})";
+    fuzz(Bytes(submission.begin(), submission.end()), [](const Bytes& bytes) {
+      (void)parse_submission_body(std::string(bytes.begin(), bytes.end()));
+    });
     const std::string report = R"({"healthy":true,"connections":5,"running":1})";
     fuzz(Bytes(report.begin(), report.end()), [](const Bytes& bytes) {
       (void)parse_target_report(kFirstTarget, std::string(bytes.begin(), bytes.end()));
