--- a/src/core/balancer/handover.cc
+++ b/src/core/balancer/handover.cc
@@ -217,10 +217,11 @@
   take_state(partition, chunk, now);
   if (!chunk.last) {
     ask_source(partition, now);
-  } else if (chunk.holding == HoldingState::kComplete) {
-    finish(partition, true, now);
-  } else if (acquisition.keeps_state && acquisition.sources[acquisition.source].was_owner) {
-    // The owner in between never fetched the state, so it decided nothing.
+    return;
+  }
+  // An owner in between that never fetched the state decided nothing: what was kept is complete.
+  const bool kept = acquisition.keeps_state && acquisition.sources[acquisition.source].was_owner;
+  if (chunk.holding == HoldingState::kComplete || kept) {
     finish(partition, true, now);
   } else {
     next_source(partition, now);
--- a/src/sim/scenario.cc
+++ b/src/sim/scenario.cc
@@ -130,7 +130,7 @@
   world.note("disk of " + control.config().name + " fails");
   control.disk().fail_after(world.random().below(4));
   SimControl* failed = &control;
-  world.events().after(seconds(4), [&world, failed] {
+  world.events().after(seconds(4), [failed] {
     failed->disk().mend();
     if (!failed->is_up()) {
       failed->start();
@@ -312,9 +312,8 @@
   };
 }
 
-std::vector<Scenario> control_failures() {
+std::vector<Scenario> leader_failures() {
   const auto plain = [](WorldConfig&) {};
-  const auto five = [](WorldConfig& config) { config.control_replicas = 5; };
   return {
       {"leader_isolated", "the leader is cut off in silence while operators race", plain,
        [](World& world) {
@@ -339,6 +338,13 @@
        plain,
        [](World& world) { race_operators(world, 3, 4); },
        {false, false, false, true, true}},
+  };
+}
+
+std::vector<Scenario> replica_failures() {
+  const auto plain = [](WorldConfig&) {};
+  const auto five = [](WorldConfig& config) { config.control_replicas = 5; };
+  return {
       {"controls_killed", "control replicas lose power again and again", plain,
        [](World& world) {
          schedule(world, kill_control, 6);
@@ -388,6 +394,11 @@
          race_operators(world, 2, 2);
        },
        kCutOff},
+  };
+}
+
+std::vector<Scenario> wide_failures() {
+  return {
       {"regions_cut", "a region of two zones is cut off from one of three for 85 s",
        [](WorldConfig& config) {
          config.zones = 5;
@@ -424,7 +435,8 @@
 
 std::vector<Scenario> all_scenarios() {
   std::vector<Scenario> all = planned_scenarios();
-  for (const auto& group : {balancer_failures(), control_failures()}) {
+  for (const auto& group :
+       {balancer_failures(), leader_failures(), replica_failures(), wide_failures()}) {
     all.insert(all.end(), group.begin(), group.end());
   }
   return all;
--- a/src/sim/sim_main.cc
+++ b/src/sim/sim_main.cc
@@ -132,6 +132,7 @@
     }
   };
   std::vector<std::thread> threads;
+  threads.reserve(static_cast<std::size_t>(absl::GetFlag(FLAGS_jobs)));
   for (int i = 0; i < absl::GetFlag(FLAGS_jobs); ++i) {
     threads.emplace_back(work);
   }
@@ -208,6 +209,7 @@
   std::vector<std::optional<FaultCatch>> caught(faults.size());
   std::atomic<std::size_t> next{0};
   std::vector<std::thread> threads;
+  threads.reserve(static_cast<std::size_t>(absl::GetFlag(FLAGS_jobs)));
   for (int i = 0; i < absl::GetFlag(FLAGS_jobs); ++i) {
     threads.emplace_back([&] {
       for (std::size_t at = next++; at < faults.size(); at = next++) {
