Pass the time that is left on to targets; simulate a region cut for an hour

Change: PROXY extension 0xE2 with the milliseconds left; the stand-in drops what it would begin too late or what was cancelled. A scenario with a cut of 3,600 s.

--- a/src/codec/proxy_header.cc
+++ b/src/codec/proxy_header.cc
@@ -16,9 +16,11 @@
 constexpr std::uint8_t kTypeUniqueId = 0x05;
 constexpr std::uint8_t kTypeTarget = 0xE0;
 constexpr std::uint8_t kTypeRelay = 0xE1;
+constexpr std::uint8_t kTypeTimeLeft = 0xE2;
 constexpr std::size_t kUniqueIdSize = 16;
 constexpr std::size_t kTargetSize = 6;
 constexpr std::size_t kRelaySize = 9;
+constexpr std::size_t kTimeLeftSize = 4;
 
 /// Reads big-endian integers from a checked position.
 std::uint64_t read_big_endian(const std::uint8_t* data, std::size_t size) {
@@ -79,6 +81,13 @@
       }
       header.relay = RelayMark{value[0], read_big_endian(value.data() + 1, 8)};
       return true;
+    case kTypeTimeLeft:
+      if (value.size() != kTimeLeftSize) {
+        return false;
+      }
+      header.time_left_ms =
+          static_cast<std::uint32_t>(read_big_endian(value.data(), kTimeLeftSize));
+      return true;
     default:
       return true;
   }
@@ -119,6 +128,10 @@
     writer.write(header.relay->hops, 1);
     writer.write(header.relay->members_revision, 8);
   }
+  if (header.time_left_ms) {
+    writer.write_extension_header(kTypeTimeLeft, kTimeLeftSize);
+    writer.write(*header.time_left_ms, kTimeLeftSize);
+  }
 }
 
 }  // namespace
--- a/src/codec/proxy_header.h
+++ b/src/codec/proxy_header.h
@@ -33,10 +33,13 @@
   std::optional<Endpoint> target;
   /// Set on datagrams between balancers (custom type 0xE1).
   std::optional<RelayMark> relay;
+  /// Set on requests to targets: milliseconds until the balancer gives the request up (custom type
+  /// 0xE2). A target need not begin it later.
+  std::optional<std::uint32_t> time_left_ms{};
 };
 
 /// Largest encoded header, in octets.
-constexpr std::size_t kMaxProxyHeaderSize = 28 + (3 + 16) + (3 + 6) + (3 + 9);
+constexpr std::size_t kMaxProxyHeaderSize = 28 + (3 + 16) + (3 + 6) + (3 + 9) + (3 + 4);
 
 /// A header and the octets that follow it.
 struct ProxyDatagram {
--- a/src/core/balancer/answer_path.cc
+++ b/src/core/balancer/answer_path.cc
@@ -141,7 +141,7 @@
   ++record.retries;
   actions_.binding().bind(partition, record.flow, target->address, now);
   ++state_.counters().requests_retried;
-  actions_.dispatch(record, record.request);
+  actions_.dispatch(record, record.request, now);
   actions_.plan_resend(partition, record, now);
   return true;
 }
@@ -211,7 +211,7 @@
     return;
   }
   actions_.binding().touch(partition, flow, now);
-  actions_.send_to_target(*record, encode_empty(summary.type, record->feed.message_id_in));
+  actions_.send_to_target(*record, encode_empty(summary.type, record->feed.message_id_in), now);
   if (summary.type == CoapType::kReset) {
     close_feed(partition, *record);
     actions_.forget(partition, *record);
--- a/src/core/balancer/request_actions.cc
+++ b/src/core/balancer/request_actions.cc
@@ -43,7 +43,7 @@
   return *context.record;
 }
 
-bool RequestActions::send_to_target(const RequestRecord& record, ByteView message) {
+bool RequestActions::send_to_target(const RequestRecord& record, ByteView message, Instant now) {
   const ServiceView* service = state_.view()->service(record.flow.service);
   if (service == nullptr || state_.view()->target(*service, record.target) == nullptr) {
     ++state_.counters().dispatches_blocked;
@@ -52,12 +52,15 @@
   ProxyHeader header;
   header.flow = record.flow;
   header.request_id = record.id;
+  if (record.is_waiting() || record.is_outstanding()) {
+    header.time_left_ms = milliseconds_until(record.give_up_at, now);
+  }
   state_.output().send_to_target(record.target, header, message);
   return true;
 }
 
-void RequestActions::dispatch(RequestRecord& record, ByteView message) {
-  if (!send_to_target(record, message)) {
+void RequestActions::dispatch(RequestRecord& record, ByteView message, Instant now) {
+  if (!send_to_target(record, message, now)) {
     return;
   }
   record.state = RequestState::kDispatched;
@@ -78,7 +81,7 @@
 void RequestActions::resend(Partition& partition, RequestRecord& record, Instant now) {
   ++record.resends;
   plan_resend(partition, record, now);
-  if (state_.retry_budget().take() && send_to_target(record, record.request)) {
+  if (state_.retry_budget().take() && send_to_target(record, record.request, now)) {
     ++state_.counters().requests_resent;
   }
 }
@@ -94,7 +97,7 @@
                              GiveUpReason reason, Instant now) {
   if (record.is_outstanding()) {
     // Tell the target that nobody waits any more (RFC 7252 section 4.2: Reset).
-    send_to_target(record, encode_empty(CoapType::kReset, record.message_id));
+    send_to_target(record, encode_empty(CoapType::kReset, record.message_id), now);
     leave_target(record);
   }
   const ServiceView* service = state_.view()->service(record.flow.service);
@@ -139,7 +142,7 @@
   record.feed.moved = true;
   Bytes message = record.request;
   set_coap_message_id(message, flow->next_message_id++);
-  dispatch(record, message);
+  dispatch(record, message, now);
   record.state = RequestState::kAnswered;
   replicator_.mark_changed(partition, record);
   --state_.board().at(target).outstanding;
--- a/src/core/balancer/request_actions.h
+++ b/src/core/balancer/request_actions.h
@@ -18,12 +18,12 @@
 
   /// Sends a message of a request to its target. The only way to a target: one that the service
   /// does not have (any more) is never sent to, since its address may serve another one by now.
-  /// Returns whether it was sent.
-  bool send_to_target(const RequestRecord& record, ByteView message);
+  /// Returns whether it was sent. An undecided request carries the time that is left for it.
+  bool send_to_target(const RequestRecord& record, ByteView message, Instant now);
 
   /// Sends a request to its target for the first time and counts it. The backup need not hear of
   /// it: it has a once-only request as sent since its record, and a feed matters once it is open.
-  void dispatch(RequestRecord& record, ByteView message);
+  void dispatch(RequestRecord& record, ByteView message, Instant now);
 
   /// Plans the next look at a dispatched request: the next send of a repeatable one, or the moment
   /// to give up.
--- a/src/core/balancer/request_filters.cc
+++ b/src/core/balancer/request_filters.cc
@@ -70,7 +70,7 @@
       break;
   }
   // Repeatable, or a registration whose first answer may be lost: the same target gets it again.
-  actions_.send_to_target(record, context.message);
+  actions_.send_to_target(record, context.message, context.now);
 }
 
 FilterStatus FeedFilter::on_request(RequestContext& context) {
@@ -87,7 +87,7 @@
   feed->type = context.type;
   feed->request.assign(context.message.begin(), context.message.end());
   context.partition.store.index(feed);
-  actions_.send_to_target(*feed, context.message);
+  actions_.send_to_target(*feed, context.message, context.now);
   return FilterStatus::kStop;
 }
 
@@ -202,7 +202,7 @@
                      context.now);
     return FilterStatus::kStop;
   }
-  actions_.dispatch(record, context.message);
+  actions_.dispatch(record, context.message, context.now);
   actions_.plan_resend(context.partition, record, context.now);
   return FilterStatus::kContinue;
 }
--- a/src/sim/scenario.cc
+++ b/src/sim/scenario.cc
@@ -417,6 +417,27 @@
          race_operators(world, 2, 2);
        },
        kCutOff},
+      {"regions_cut_for_an_hour", "the same for an hour, with little load",
+       [](WorldConfig& config) {
+         config.zones = 5;
+         config.balancers_per_zone = 1;
+         config.control_replicas = 5;
+         config.first_targets = 3;
+         config.second_targets = 2;
+         config.callers = {3, 6, 0, 1};
+         config.pause = seconds(5);
+         config.feed_interval = seconds(10);
+         config.load_time = seconds(3660);
+       },
+       [](World& world) {
+         world.at(seconds(10), [&world] {
+           world.note("cut regions");
+           world.network().cut_group({0, 1});
+         });
+         world.at(seconds(3610), [&world] { world.heal(); });
+         race_operators(world, 2, 2);
+       },
+       kCutOff},
       {"everything", "all failures and changes at any moment",
        [](WorldConfig& config) { config.load_time = seconds(40); },
        [](World& world) {
--- a/src/standins/target_model.cc
+++ b/src/standins/target_model.cc
@@ -114,14 +114,19 @@
   if (!continues) {
     last_new_work_ = now;
   }
-  waiting_.push_back({header, Bytes(message.begin(), message.end()), now});
+  Job job{header, Bytes(message.begin(), message.end()), now, std::nullopt};
+  if (header.time_left_ms) {
+    job.deadline = now + std::chrono::milliseconds(*header.time_left_ms);
+  }
+  waiting_.push_back(std::move(job));
 }
 
 void TargetModel::start_jobs(Instant now) {
   while (!waiting_.empty() && running_.size() < config_.slots) {
     Job job = std::move(waiting_.front());
     waiting_.pop_front();
-    if (job.cancelled) {
+    if (job.cancelled || (job.deadline && now > *job.deadline)) {
+      ++requests_dropped_;
       continue;
     }
     job.started = now;
--- a/src/standins/target_model.h
+++ b/src/standins/target_model.h
@@ -80,6 +80,8 @@
   [[nodiscard]] std::uint64_t foreign_datagrams() const { return foreign_datagrams_; }
   /// New flows and new requests since the start, and when the last one came.
   [[nodiscard]] std::uint64_t requests_run() const { return requests_run_; }
+  /// Requests that were not begun since they were cancelled or their time had passed.
+  [[nodiscard]] std::uint64_t requests_dropped() const { return requests_dropped_; }
   [[nodiscard]] Instant last_new_work() const { return last_new_work_; }
   [[nodiscard]] std::size_t open_feeds() const { return feeds_.size(); }
   [[nodiscard]] const TargetModelConfig& config() const { return config_; }
@@ -89,6 +91,8 @@
     ProxyHeader header;
     Bytes message;
     Instant started;
+    /// Not begun after this instant: nobody waits for it any more.
+    std::optional<Instant> deadline;
     bool cancelled = false;
   };
   struct Feed {
@@ -131,6 +135,7 @@
   std::optional<Endpoint> service_;
   std::uint64_t foreign_datagrams_ = 0;
   std::uint64_t requests_run_ = 0;
+  std::uint64_t requests_dropped_ = 0;
   Instant last_new_work_;
   std::deque<std::pair<Instant, TargetReport>> reports_;
 };
--- a/tests/unit/test_balancer.cc
+++ b/tests/unit/test_balancer.cc
@@ -129,6 +129,16 @@
     }
   }
 
+  TEST_CASE("the target learns how much time is left, and of the end") {
+    BalancerFixture test;
+    test.request(kFirstService, make_request(coap_code::kPost, 1, 1));
+    REQUIRE(test.output.to_target.size() == 1);
+    CHECK(test.output.to_target[0].header.time_left_ms == 4000);
+    test.pass(std::chrono::seconds(5));
+    REQUIRE(test.output.to_target.size() == 2);
+    CHECK(parse(test.output.to_target[1].message)->type == CoapType::kReset);
+  }
+
   TEST_CASE("a once-only request without a lease is never sent") {
     BalancerFixture test;
     test.balancer.on_lease(test.now);
--- a/tests/unit/test_proxy_header.cc
+++ b/tests/unit/test_proxy_header.cc
@@ -14,6 +14,7 @@
   header.request_id = RequestId{7, 9};
   header.target = Endpoint{0x0A000A01, 5683};
   header.relay = RelayMark{2, 77};
+  header.time_left_ms = 4000;
   return header;
 }
 
@@ -30,6 +31,7 @@
     REQUIRE(decoded->header.relay);
     CHECK(decoded->header.relay->hops == 2);
     CHECK(decoded->header.relay->members_revision == 77);
+    CHECK(decoded->header.time_left_ms == 4000);
     CHECK(Bytes(decoded->payload.begin(), decoded->payload.end()) == kPayload);
   }
 
