--- a/Makefile
+++ b/Makefile
@@ -33,7 +33,7 @@
 
 # All simulator scenarios over many seeds; not part of CI.
 soak: build
-	$(BUILD)/gorsevalve-sim run --scenario=all --first_seed=1 --seeds=$(SEEDS)
+	python3 scripts/soak.py --build $(BUILD) --seeds=$(SEEDS)
 
 # Real processes for minutes under changes and failures, with a report in run/endurance.
 endurance: build
