--- a/src/codec/envelope.cc
+++ b/src/codec/envelope.cc
@@ -1,14 +1,12 @@
 #include "codec/envelope.h"
 
-#include <sys/stat.h>
 #include <xxhash.h>
 
 #include <algorithm>
-#include <cstring>
-#include <fstream>
 #include <utility>
 
 #include "codec/archive.h"
+#include "storage/secret_file.h"
 
 namespace gorsevalve {
 namespace {
@@ -17,7 +15,6 @@
 constexpr std::uint8_t kVersion = 1;
 constexpr std::size_t kHeaderSize = 36;
 constexpr std::size_t kCodeSize = std::tuple_size_v<MessageCode>;
-constexpr std::size_t kMinKeySize = 16;
 
 void put(Bytes& out, std::uint64_t value, std::size_t size) {
   for (std::size_t i = size; i > 0; --i) {
@@ -70,28 +67,17 @@
 }  // namespace
 
 tl::expected<ClusterKeys, std::string> read_key_file(const std::string& path) {
-  struct stat status {};
-  if (::stat(path.c_str(), &status) != 0) {
-    return tl::unexpected(path + ": cannot be read: " + std::strerror(errno));
-  }
-  if ((status.st_mode & (S_IRWXG | S_IRWXO)) != 0) {
-    return tl::unexpected(path + ": others than the owner may read it (mode must be 0600)");
+  const auto lines = read_secret_file(path);
+  if (!lines) {
+    return tl::unexpected(lines.error());
   }
   ClusterKeys keys;
-  std::ifstream file(path);
-  std::string line;
-  for (int number = 1; std::getline(file, line); ++number) {
-    if (line.empty()) {
-      continue;
-    }
-    if (line.size() < kMinKeySize) {
-      return tl::unexpected(path + ":" + std::to_string(number) +
+  for (const auto& line : *lines) {
+    if (line.text.size() < kMinSecretSize) {
+      return tl::unexpected(path + ":" + std::to_string(line.number) +
                             ": a key needs at least 16 characters");
     }
-    keys.keys.push_back(line);
-  }
-  if (keys.keys.empty()) {
-    return tl::unexpected(path + ": holds no key");
+    keys.keys.push_back(line.text);
   }
   return keys;
 }
--- a/src/programs/control_admin.cc
+++ b/src/programs/control_admin.cc
@@ -1,17 +1,14 @@
 #include "programs/control_admin.h"
 
 #include <openssl/crypto.h>
-#include <sys/stat.h>
 
 #include <algorithm>
-#include <cerrno>
-#include <cstring>
 #include <ctime>
-#include <fstream>
 #include <nlohmann/json.hpp>
 #include <sstream>
 
 #include "settings/settings_file.h"
+#include "storage/secret_file.h"
 #include "tasks/log.h"
 #include "tasks/metrics.h"
 #include "tasks/submission_body.h"
@@ -21,8 +18,6 @@
 
 using nlohmann::json;
 
-constexpr std::size_t kMinTokenSize = 16;
-
 json to_json(const SubmissionOutcome& outcome) {
   return {{"id", outcome.id},
           {"accepted", outcome.accepted},
@@ -143,27 +138,19 @@
 }  // namespace
 
 tl::expected<ApiTokens, std::string> read_token_file(const std::string& path) {
-  struct stat status {};
-  if (::stat(path.c_str(), &status) != 0) {
-    return tl::unexpected(path + ": cannot be read: " + std::strerror(errno));
-  }
-  if ((status.st_mode & (S_IRWXG | S_IRWXO)) != 0) {
-    return tl::unexpected(path + ": others than the owner may read it (mode must be 0600)");
+  const auto lines = read_secret_file(path);
+  if (!lines) {
+    return tl::unexpected(lines.error());
   }
   ApiTokens tokens;
-  std::ifstream file(path);
-  std::string line;
-  for (int number = 1; std::getline(file, line); ++number) {
-    if (line.empty()) {
-      continue;
-    }
-    std::istringstream words(line);
+  for (const auto& line : *lines) {
+    std::istringstream words(line.text);
     std::string right;
     std::string token;
     words >> right >> token;
     const bool known = right == "read" || right == "submit";
-    if (!known || token.size() < kMinTokenSize) {
-      return tl::unexpected(path + ":" + std::to_string(number) +
+    if (!known || token.size() < kMinSecretSize) {
+      return tl::unexpected(path + ":" + std::to_string(line.number) +
                             ": must be \"read TOKEN\" or \"submit TOKEN\" with a token of at "
                             "least 16 characters");
     }
