Remove the setting that did nothing

Cause: a service's priority was read and kept but decided nothing: the queues are a target's, so of one service, and shedding goes by the kind of request. Nothing is released yet, so no file in use has it.

--- a/scripts/make_examples.py
+++ b/scripts/make_examples.py
@@ -6,12 +6,11 @@
 FOLDER = pathlib.Path(__file__).resolve().parent.parent / "examples"
 
 
-def service_lines(name, address, priority, targets):
+def service_lines(name, address, targets):
     lines = [
         "[[service]]",
         f'name = "{name}"',
         f'address = "{address}"',
-        f'priority = "{priority}"',
         "request_timeout_ms = 4000",
         "retry_after_min_s = 1",
         "retry_after_max_s = 5",
@@ -38,22 +37,22 @@
 def write(file_name, deployment, network, zones, services, draining):
     lines = ["# Settings of one deployment. Keys: docs/settings.md.", "schema = 1",
              f'deployment = "{deployment}"', ""]
-    for number, (name, priority, count) in enumerate(services, start=1):
+    for number, (name, count) in enumerate(services, start=1):
         targets = [
             target_lines(f"{name}-{i:02}", f"127.{network}.{number}.{i}", zones[(i - 1) % 3],
                          f"{name}-{i:02}" == draining)
             for i in range(1, count + 1)
         ]
-        lines += service_lines(name, f"127.{network}.0.{number}:5683", priority, targets)
+        lines += service_lines(name, f"127.{network}.0.{number}:5683", targets)
     (FOLDER / file_name).write_text("\n".join(lines))
 
 
 def main():
     FOLDER.mkdir(exist_ok=True)
     mu_north = ("mu-north", 20, ["plv-a", "plv-b", "pam-c"],
-                [("track-core", "urgent", 15), ("proof-store", "normal", 4)])
+                [("track-core", 15), ("proof-store", 4)])
     pnw_cascade = ("pnw-cascade", 30, ["tacoma-hall", "salem-hall", "spokane-hall"],
-                   [("chairbook", "urgent", 15), ("daysheet", "bulk", 4)])
+                   [("chairbook", 15), ("daysheet", 4)])
     for deployment, drained in ((mu_north, "track-core-03"), (pnw_cascade, "chairbook-03")):
         write(f"{deployment[0]}.toml", *deployment, draining=None)
         write(f"{deployment[0]}-drain.toml", *deployment, draining=drained)
--- a/src/model/settings.h
+++ b/src/model/settings.h
@@ -12,9 +12,6 @@
 /// Number of an accepted change. Grows by at least one with each change and never goes back.
 using Revision = std::uint64_t;
 
-/// Scheduling class of a service, most urgent first.
-enum class Priority : std::uint8_t { kUrgent = 0, kNormal = 1, kBulk = 2 };
-
 /// One back end of a service.
 struct Target {
   std::string name;
@@ -42,7 +39,6 @@
 struct Service {
   std::string name;
   Endpoint address;
-  Priority priority = Priority::kNormal;
   /// Paths ("/a/b") whose POST and PATCH requests may be repeated although their method may not.
   std::vector<std::string> repeatable_paths;
   /// Paths whose requests run at most once although their method is idempotent.
@@ -63,8 +59,8 @@
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive& name& address& priority& repeatable_paths& once_only_paths& request_timeout_ms&
-        owner_spread& queue_limit& retry_after_min_s& retry_after_max_s& targets;
+    archive& name& address& repeatable_paths& once_only_paths& request_timeout_ms& owner_spread&
+        queue_limit& retry_after_min_s& retry_after_max_s& targets;
   }
 };
 
--- a/src/settings/settings_file.cc
+++ b/src/settings/settings_file.cc
@@ -18,7 +18,6 @@
     SettingsKey{"", "service"},
     SettingsKey{"service", "name"},
     SettingsKey{"service", "address"},
-    SettingsKey{"service", "priority"},
     SettingsKey{"service", "repeatable_paths"},
     SettingsKey{"service", "once_only_paths"},
     SettingsKey{"service", "request_timeout_ms"},
@@ -47,20 +46,6 @@
   return names;
 }
 
-Priority read_priority(TableReader& reader) {
-  const std::string text = reader.optional_text("priority", "normal");
-  if (text == "urgent") {
-    return Priority::kUrgent;
-  }
-  if (text == "bulk") {
-    return Priority::kBulk;
-  }
-  if (text != "normal") {
-    reader.error("priority", "must be \"urgent\", \"normal\" or \"bulk\"");
-  }
-  return Priority::kNormal;
-}
-
 std::vector<std::string> read_paths(TableReader& reader, std::string_view key) {
   std::vector<std::string> paths = reader.optional_texts(key);
   for (const auto& path : paths) {
@@ -91,7 +76,6 @@
   Service service;
   service.name = reader.text("name");
   service.address = reader.endpoint("address");
-  service.priority = read_priority(reader);
   service.repeatable_paths = read_paths(reader, "repeatable_paths");
   service.once_only_paths = read_paths(reader, "once_only_paths");
   service.request_timeout_ms =
--- a/src/settings/table_reader.cc
+++ b/src/settings/table_reader.cc
@@ -58,10 +58,6 @@
   return *parsed;
 }
 
-std::string TableReader::optional_text(std::string_view key, std::string otherwise) const {
-  return table_->contains(key) ? text(key) : std::move(otherwise);
-}
-
 std::uint32_t TableReader::optional_integer(std::string_view key, std::uint32_t otherwise,
                                             std::uint32_t minimum, std::uint32_t maximum) const {
   return table_->contains(key) ? static_cast<std::uint32_t>(integer(key, minimum, maximum))
--- a/src/settings/table_reader.h
+++ b/src/settings/table_reader.h
@@ -29,8 +29,6 @@
                                      std::int64_t maximum) const;
   [[nodiscard]] Endpoint endpoint(std::string_view key) const;
 
-  /// Values that may be absent.
-  [[nodiscard]] std::string optional_text(std::string_view key, std::string otherwise) const;
   [[nodiscard]] std::uint32_t optional_integer(std::string_view key, std::uint32_t otherwise,
                                                std::uint32_t minimum, std::uint32_t maximum) const;
   [[nodiscard]] bool optional_flag(std::string_view key, bool otherwise) const;
--- a/src/sim/world.cc
+++ b/src/sim/world.cc
@@ -38,7 +38,6 @@
   Service service;
   service.name = number == 0 ? "main" : "archive";
   service.address = {address_of(kServiceGroup, number + 1), kCoapPort};
-  service.priority = number == 0 ? Priority::kUrgent : Priority::kNormal;
   service.queue_limit = config.queue_limit;
   for (int i = 1; i <= targets; ++i) {
     service.targets.push_back(
