--- a/src/sim/scenario_actions.cc
+++ b/src/sim/scenario_actions.cc
@@ -86,6 +86,10 @@
   world.kill_control(any_control(world), world.random().between(seconds(1), seconds(6)));
 }
 void wipe_control(World& world) {
+  // Disks of a majority that are lost for good cannot be recovered (docs/operators/control.md).
+  if (!world.all_controls_vote()) {
+    return;
+  }
   world.kill_control(any_control(world), world.random().between(seconds(1), seconds(4)), true);
 }
 void isolate_leader(World& world) {
--- a/src/sim/scenario_actions.h
+++ b/src/sim/scenario_actions.h
@@ -38,6 +38,7 @@
 
 // Failures of control replicas.
 void kill_control(World& world);
+/// A replica loses its disk, unless another one is down or has not been replaced yet.
 void wipe_control(World& world);
 void isolate_leader(World& world);
 /// Cuts the leader off from one other replica; the rest still hears both.
--- a/src/sim/world.cc
+++ b/src/sim/world.cc
@@ -255,6 +255,17 @@
   return std::nullopt;
 }
 
+bool World::all_controls_vote() const {
+  const auto leading = leader();
+  if (!leading) {
+    return false;
+  }
+  const ReplicaSet& set = controls_[*leading]->node().replica().replicas();
+  return std::all_of(controls_.begin(), controls_.end(), [&](const auto& control) {
+    return control->is_up() && set.is_voter(control->node().replica().id());
+  });
+}
+
 std::string World::difference() const {
   const auto leading = leader();
   if (!leading) {
--- a/src/sim/world.h
+++ b/src/sim/world.h
@@ -127,6 +127,8 @@
   [[nodiscard]] std::vector<std::unique_ptr<SimControl>>& controls() { return controls_; }
   [[nodiscard]] std::map<Endpoint, std::unique_ptr<SimTarget>>& targets() { return targets_; }
   [[nodiscard]] std::optional<std::size_t> leader() const;
+  /// True when every control replica is up and votes: a disk may be lost without losing a majority.
+  [[nodiscard]] bool all_controls_vote() const;
   [[nodiscard]] const WorldConfig& config() const { return config_; }
   void note(const std::string& text) { trace_.note(events_.now(), text); }
 
