--- a/src/core/balancer/balancer.cc
+++ b/src/core/balancer/balancer.cc
@@ -11,12 +11,6 @@
 /// Pause between two steps of the sweep for idle flows and unused copies.
 constexpr Duration kSweepInterval = std::chrono::milliseconds(200);
 
-/// Hash maps have no fixed order; effects must have one.
-void sort_by_id(std::vector<RequestRecord*>& records) {
-  std::sort(records.begin(), records.end(),
-            [](const RequestRecord* a, const RequestRecord* b) { return a->id < b->id; });
-}
-
 /// The partition that a message is about.
 PartitionId partition_of(const PeerMessage& message) {
   return std::visit([](const auto& body) { return body.partition; }, message);
@@ -33,6 +27,7 @@
       backups_(state_),
       handover_(state_, binding_, replicator_, *this),
       actions_(state_, binding_, replicator_),
+      feed_mover_(state_, binding_, actions_),
       chain_(state_, actions_),
       answers_(state_, actions_, chain_) {}
 
@@ -194,49 +189,16 @@
       binding_.mark_exceptions(*partition);
     }
   }
-  move_feeds_from_lost_targets(now);
+  feed_mover_.move_from_lost_targets(now);
   if (state_.view()->members_revision() != old_members) {
     handover_.on_members(now);
   }
 }
 
-void Balancer::move_feeds_from_lost_targets(Instant now) {
-  for (Partition* partition : state_.partitions().used()) {
-    if (partition->role == PartitionRole::kOwner) {
-      move_feeds_from_lost_targets(*partition, now);
-    }
-  }
-}
-
-void Balancer::move_feeds_from_lost_targets(Partition& partition, Instant now) {
-  std::vector<RequestRecord*> lost;
-  for (const auto& [request_id, record] : partition.store.requests()) {
-    const ServiceView* service = state_.view()->service(record->flow.service);
-    const bool open =
-        record->kind == RequestKind::kFeed && record->state == RequestState::kAnswered;
-    if (!open || service == nullptr) {
-      continue;
-    }
-    const bool listed = state_.view()->target(*service, record->target) != nullptr;
-    if (!listed || !board_.at(record->target).healthy) {
-      lost.push_back(record);
-    }
-  }
-  sort_by_id(lost);
-  for (RequestRecord* record : lost) {
-    const ServiceView* service = state_.view()->service(record->flow.service);
-    const Target* target = actions_.place(*service, record->flow, now, record->target);
-    if (target != nullptr) {
-      binding_.bind(partition, record->flow, target->address, now);
-      actions_.move_feed(partition, *record, target->address, now);
-    }
-  }
-}
-
 void Balancer::on_target_report(const TargetReport& report, Instant now) {
   const bool went_down = board_.report(report, now);
   if (went_down && state_.view() != nullptr) {
-    move_feeds_from_lost_targets(now);
+    feed_mover_.move_from_lost_targets(now);
   }
 }
 
@@ -367,7 +329,7 @@
   for (RequestRecord* record : waiting) {
     chain_.resume(partition, *record, ChainEntry::kRecord, now);
   }
-  move_feeds_from_lost_targets(partition, now);
+  feed_mover_.move_from_lost_targets(partition, now);
 }
 
 void Balancer::on_held_datagram(const ProxyHeader& header, ByteView payload, Instant now) {
--- a/src/core/balancer/balancer.h
+++ b/src/core/balancer/balancer.h
@@ -5,6 +5,7 @@
 
 #include "core/balancer/answer_path.h"
 #include "core/balancer/balancer_state.h"
+#include "core/balancer/feed_mover.h"
 #include "core/balancer/flow_binding.h"
 #include "core/balancer/handover.h"
 #include "core/balancer/replication.h"
@@ -59,8 +60,6 @@
                          const CoapSummary& summary, Instant now);
   void on_expired(Partition& partition, RequestRecord& record, Instant now);
   void expire(Instant now);
-  void move_feeds_from_lost_targets(Instant now);
-  void move_feeds_from_lost_targets(Partition& partition, Instant now);
 
   void on_recorded(Partition& partition, const RequestId& id, Instant now) override;
   void on_superseded(Partition& partition, Instant now) override;
@@ -76,6 +75,7 @@
   BackupStore backups_;
   Handover handover_;
   RequestActions actions_;
+  FeedMover feed_mover_;
   RequestChain chain_;
   AnswerPath answers_;
   CoapParser parser_;
--- /dev/null
+++ b/src/core/balancer/feed_mover.h
@@ -0,0 +1,27 @@
+/// Moves open feeds away from targets that left the settings or went down.
+#pragma once
+
+#include "core/balancer/flow_binding.h"
+#include "core/balancer/request_actions.h"
+
+namespace gorsevalve {
+
+class FeedMover {
+ public:
+  FeedMover(BalancerState& state, FlowBinding& binding, RequestActions& actions)
+      : state_(state), binding_(binding), actions_(actions) {}
+
+  /// In all partitions that this process owns.
+  void move_from_lost_targets(Instant now);
+  /// In one partition. Feeds stay where they are when no other target takes new work.
+  void move_from_lost_targets(Partition& partition, Instant now);
+
+ private:
+  [[nodiscard]] bool has_lost_target(const RequestRecord& record) const;
+
+  BalancerState& state_;
+  FlowBinding& binding_;
+  RequestActions& actions_;
+};
+
+}  // namespace gorsevalve
--- a/src/core/balancer/partition_store.cc
+++ b/src/core/balancer/partition_store.cc
@@ -1,5 +1,7 @@
 #include "core/balancer/partition_store.h"
 
+#include <algorithm>
+
 namespace gorsevalve {
 namespace {
 
@@ -44,6 +46,11 @@
   free_.push_back(record);
 }
 
+void sort_by_id(std::vector<RequestRecord*>& records) {
+  std::sort(records.begin(), records.end(),
+            [](const RequestRecord* a, const RequestRecord* b) { return a->id < b->id; });
+}
+
 PartitionStore::~PartitionStore() {
   for (const auto& [id, record] : requests_) {
     pool_.give_back(record);
--- a/src/core/balancer/partition_store.h
+++ b/src/core/balancer/partition_store.h
@@ -50,6 +50,9 @@
   return Hasher::combine(std::move(state), key.flow, key.token);
 }
 
+/// Orders records by id: hash maps have no fixed order, effects must have one.
+void sort_by_id(std::vector<RequestRecord*>& records);
+
 class PartitionStore {
  public:
   using FlowMap = absl::flat_hash_map<FlowKey, FlowRecord>;
