Join what stood twice: the planned stop, the digest, the thread loop

Cause, found by reading the whole change: the rule when a leaving balancer may end stood in the program's task and in the simulator, so the simulator proved its own copy; a node worked the digest of a new fleet state out twice; two loops handed seeds to threads; a parameter, a struct and a counter were dead. Change: PlannedStop in the core serves both; the checked digest is passed on; one function runs numbered work on threads; the dead parts are gone.

--- a/src/core/balancer/control_client.cc
+++ b/src/core/balancer/control_client.cc
@@ -75,17 +75,18 @@
     steps.pop_back();
   }
   for (auto& step : steps) {
-    adopt(std::move(step), now);
+    const std::uint64_t digest = fleet_digest(step);
+    adopt(std::move(step), digest, now);
   }
-  adopt(std::move(next), now);
+  adopt(std::move(next), update.digest, now);
 }
 
-void ControlClient::adopt(FleetState next, Instant now) {
+void ControlClient::adopt(FleetState next, std::uint64_t digest, Instant now) {
   const bool was_member = is_member(fleet_);
   const bool missed_members = next.members_epoch > fleet_.members_epoch + 1;
   const bool expelled = was_member && (!is_member(next) || missed_members);
   fleet_ = std::move(next);
-  digest_ = fleet_digest(fleet_);
+  digest_ = digest;
   if (expelled && self_.state == MemberState::kActive) {
     output_.on_expelled(now);
   }
--- a/src/core/balancer/control_client.h
+++ b/src/core/balancer/control_client.h
@@ -53,7 +53,8 @@
 
  private:
   void on_update(const FleetUpdate& update, Instant now);
-  void adopt(FleetState next, Instant now);
+  /// `digest` is that of `next`: it is costly at scale, so it is worked out once.
+  void adopt(FleetState next, std::uint64_t digest, Instant now);
   [[nodiscard]] bool is_member(const FleetState& fleet) const;
   void on_reply(const HeartbeatReply& reply, Instant now);
   void send_heartbeat(Revision settled_revision, Instant now);
--- a/src/sim/sim_balancer.cc
+++ b/src/sim/sim_balancer.cc
@@ -4,8 +4,6 @@
 namespace {
 
 constexpr Duration kPollInterval = std::chrono::milliseconds(500);
-/// As in the program: relays this long what the fabric still sends after the handover.
-constexpr Duration kLinger = std::chrono::seconds(3);
 
 }  // namespace
 
@@ -14,8 +12,7 @@
 
 void SimBalancer::start() {
   come_up();
-  leaving_ = false;
-  may_stop_at_.reset();
+  stop_ = PlannedStop{};
   forced_at_.clear();
   const Member self = make_self(context().random.next());
   make_node(self);
@@ -51,7 +48,7 @@
 }
 
 void SimBalancer::leave(std::function<void()> when_stopped) {
-  leaving_ = true;
+  stop_.begin();
   when_stopped_ = std::move(when_stopped);
   control_->leave();
 }
@@ -82,10 +79,7 @@
 void SimBalancer::on_tick() {
   node_->on_tick(now());
   control_->on_tick(node_->settled_revision(), now());
-  if (leaving_ && !may_stop_at_ && control_->may_stop() && node_->has_released_all(now())) {
-    may_stop_at_ = now() + kLinger;
-  }
-  if (may_stop_at_ && now() >= *may_stop_at_) {
+  if (stop_.on_tick(control_->may_stop() && node_->has_released_all(now()), now())) {
     kill();
     when_stopped_();
   }
--- a/src/sim/sim_balancer.h
+++ b/src/sim/sim_balancer.h
@@ -7,6 +7,7 @@
 #include <optional>
 
 #include "core/balancer/control_client.h"
+#include "core/balancer/planned_stop.h"
 #include "sim/balancer_node.h"
 #include "sim/sim_process.h"
 
@@ -64,8 +65,7 @@
   std::unique_ptr<ControlClient> control_;
   /// On disk: survives kills.
   FleetState stored_;
-  bool leaving_ = false;
-  std::optional<Instant> may_stop_at_;
+  PlannedStop stop_;
   std::function<void()> when_stopped_;
   std::map<Revision, Instant> forced_at_;
   std::vector<BalancerCounters> past_counters_;
--- a/src/sim/sim_disk.cc
+++ b/src/sim/sim_disk.cc
@@ -53,7 +53,6 @@
   if (fails()) {
     return failure("sync", name);
   }
-  ++syncs_;
   files_[name].synced = files_[name].content.size();
   return {};
 }
--- a/src/sim/sim_disk.h
+++ b/src/sim/sim_disk.h
@@ -27,7 +27,6 @@
   void mend() { operations_left_ = kNever; }
   /// Flips one bit of a file.
   void corrupt(const std::string& name, std::uint64_t position);
-  [[nodiscard]] std::uint64_t syncs() const { return syncs_; }
 
  private:
   struct File {
@@ -41,7 +40,6 @@
 
   std::map<std::string, File> files_;
   std::uint64_t operations_left_ = kNever;
-  std::uint64_t syncs_ = 0;
 };
 
 }  // namespace gorsevalve
--- a/src/sim/sim_main.cc
+++ b/src/sim/sim_main.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <atomic>
 #include <cstdio>
+#include <functional>
 #include <mutex>
 #include <thread>
 
@@ -111,34 +112,40 @@
   return AffinityScheme::kOwners;
 }
 
-/// Runs a scenario over a range of seeds on several threads; every run is a world of its own.
-Summary run_seeds(const Scenario& scenario, std::uint64_t first, std::uint64_t count) {
-  RunOptions options;
-  options.prints_trace = absl::GetFlag(FLAGS_trace);
-  options.scheme = read_scheme();
+/// Calls `work` for each number below `count`, on --jobs threads.
+void run_on_threads(std::uint64_t count, const std::function<void(std::uint64_t)>& work) {
   std::atomic<std::uint64_t> next{0};
-  std::mutex mutex;
-  Summary summary;
-  const auto work = [&] {
-    for (std::uint64_t i = next++; i < count; i = next++) {
-      RunOptions own = options;
-      own.seed = first + i;
-      const RunResult result = run_scenario(scenario, own);
-      const std::lock_guard lock(mutex);
-      add(summary, result);
-      if (!result.violations.empty()) {
-        print_failure(scenario, own.seed, result);
-      }
-    }
-  };
   std::vector<std::thread> threads;
   threads.reserve(static_cast<std::size_t>(absl::GetFlag(FLAGS_jobs)));
   for (int i = 0; i < absl::GetFlag(FLAGS_jobs); ++i) {
-    threads.emplace_back(work);
+    threads.emplace_back([&] {
+      for (std::uint64_t number = next++; number < count; number = next++) {
+        work(number);
+      }
+    });
   }
   for (auto& thread : threads) {
     thread.join();
   }
+}
+
+/// Runs a scenario over a range of seeds on several threads; every run is a world of its own.
+Summary run_seeds(const Scenario& scenario, std::uint64_t first, std::uint64_t count) {
+  RunOptions options;
+  options.prints_trace = absl::GetFlag(FLAGS_trace);
+  options.scheme = read_scheme();
+  std::mutex mutex;
+  Summary summary;
+  run_on_threads(count, [&](std::uint64_t number) {
+    RunOptions own = options;
+    own.seed = first + number;
+    const RunResult result = run_scenario(scenario, own);
+    const std::lock_guard lock(mutex);
+    add(summary, result);
+    if (!result.violations.empty()) {
+      print_failure(scenario, own.seed, result);
+    }
+  });
   return summary;
 }
 
@@ -207,19 +214,9 @@
   const std::uint64_t seeds = absl::GetFlag(FLAGS_seeds);
   const auto faults = deliberate_faults();
   std::vector<std::optional<FaultCatch>> caught(faults.size());
-  std::atomic<std::size_t> next{0};
-  std::vector<std::thread> threads;
-  threads.reserve(static_cast<std::size_t>(absl::GetFlag(FLAGS_jobs)));
-  for (int i = 0; i < absl::GetFlag(FLAGS_jobs); ++i) {
-    threads.emplace_back([&] {
-      for (std::size_t at = next++; at < faults.size(); at = next++) {
-        caught[at] = catch_fault(faults[at], seeds);
-      }
-    });
-  }
-  for (auto& thread : threads) {
-    thread.join();
-  }
+  run_on_threads(faults.size(), [&](std::uint64_t number) {
+    caught[number] = catch_fault(faults[number], seeds);
+  });
   int missed = 0;
   for (std::size_t i = 0; i < faults.size(); ++i) {
     const std::string name(faults[i].name);
--- a/src/sim/world.cc
+++ b/src/sim/world.cc
@@ -72,14 +72,14 @@
   settings_.deployment = "simulated";
   settings_.services = {make_service(0, config_.first_targets, config_),
                         make_service(1, config_.second_targets, config_)};
-  for (std::size_t i = 0; i < settings_.services.size(); ++i) {
-    for (const auto& target : settings_.services[i].targets) {
-      make_target(target, i == 1);
+  for (const auto& service : settings_.services) {
+    for (const auto& target : service.targets) {
+      make_target(target);
     }
   }
 }
 
-void World::make_target(const Target& target, bool second_service) {
+void World::make_target(const Target& target) {
   TargetModelConfig model;
   model.name = target.name;
   model.address = target.address;
@@ -87,7 +87,6 @@
   model.cold_service_time = 3 * config_.service_time;
   model.feed_interval = config_.feed_interval;
   model.misleading_report = config_.misleading_reports;
-  (void)second_service;
   network_.place(target.address, zone_number(target.zone));
   targets_[target.address] = std::make_unique<SimTarget>(context(), model, fabric_);
 }
--- a/src/sim/world.h
+++ b/src/sim/world.h
@@ -133,16 +133,11 @@
   void note(const std::string& text) { trace_.note(events_.now(), text); }
 
  private:
-  struct Drain {
-    Endpoint target;
-    Revision after = 0;
-  };
-
   void deliver(const Endpoint& to, const SimMessage& message) override;
   [[nodiscard]] SimContext context();
   void make_controls();
   void make_settings();
-  void make_target(const Target& target, bool second_service);
+  void make_target(const Target& target);
   void make_callers();
   SimBalancer& make_balancer(int zone);
   void watch_leases();
--- a/src/sim/world_actions.cc
+++ b/src/sim/world_actions.cc
@@ -148,7 +148,7 @@
   ++spare_targets_;
   target.name = "spare-" + std::to_string(spare_targets_);
   target.address.address = targets.back().address.address + 100 + spare_targets_;
-  make_target(target, service == 1);
+  make_target(target);
   targets_[target.address]->start();
   unloaded_targets_.insert(target.address);
   return target;
--- a/src/tasks/balancer_task.cc
+++ b/src/tasks/balancer_task.cc
@@ -12,10 +12,6 @@
 namespace {
 
 constexpr const char* kFleetName = "fleet";
-/// After its partitions have moved, a stopping balancer relays this long what the fabric still
-/// sends it, since the list of live machines lags.
-constexpr Duration kLinger = std::chrono::seconds(3);
-
 /// The fleet state kept over a restart; an empty one when there is none or it is damaged, since the
 /// control replicas give it again.
 FleetState read_fleet(Disk* disk) {
@@ -94,17 +90,14 @@
   balancer_->on_tick(now);
   control_.on_tick(balancer_->settled_revision(), now);
   socket_->flush();
-  if (leaving_ && control_.may_stop() && balancer_->has_released_all(now)) {
-    may_stop_at_ = may_stop_at_.value_or(now + kLinger);
-  }
-  if (may_stop_at_ && now >= *may_stop_at_) {
+  if (stop_.on_tick(control_.may_stop() && balancer_->has_released_all(now), now)) {
     log_event(LogLevel::kInfo, "stopped");
     loop_.stop();
   }
 }
 
 void BalancerTask::leave() {
-  leaving_ = true;
+  stop_.begin();
   control_.leave();
   log_event(LogLevel::kInfo, "leaving");
 }
--- a/src/tasks/balancer_task.h
+++ b/src/tasks/balancer_task.h
@@ -11,6 +11,7 @@
 #include "codec/envelope.h"
 #include "core/balancer/balancer.h"
 #include "core/balancer/control_client.h"
+#include "core/balancer/planned_stop.h"
 #include "storage/disk.h"
 #include "tasks/event_loop.h"
 #include "tasks/frame_network.h"
@@ -81,8 +82,7 @@
   std::unique_ptr<UdpSocket> socket_;
   FrameNetwork network_;
   std::uint64_t messages_refused_ = 0;
-  bool leaving_ = false;
-  std::optional<Instant> may_stop_at_;
+  PlannedStop stop_;
 };
 
 }  // namespace gorsevalve
