--- a/src/core/balancer/control_client.cc
+++ b/src/core/balancer/control_client.cc
@@ -1,6 +1,7 @@
 #include "core/balancer/control_client.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "core/control/timing.h"
 
@@ -8,8 +9,6 @@
 namespace {
 
 constexpr std::size_t kHeartbeatsRemembered = 16;
-/// A replica that is silent for this long is left for the next one.
-constexpr Duration kReplicaTimeout = std::chrono::milliseconds(1500);
 
 }  // namespace
 
@@ -20,12 +19,17 @@
       output_(output),
       fleet_(std::move(stored)),
       digest_(fleet_digest(fleet_)) {
+  seeds_ = replicas_;
   // Nodes spread over the replicas by their address.
   replica_ = replicas_.empty() ? 0 : packed(self_.address) % replicas_.size();
 }
 
-void ControlClient::on_message(const Endpoint& /*from*/, const NodeMessage& message, Instant now) {
-  last_heard_ = now;
+void ControlClient::on_message(const Endpoint& from, const NodeMessage& message, Instant now) {
+  // Only the replica that is asked now counts as heard: one that answers late is not waited for.
+  const bool is_observer = self_.state == MemberState::kObserver;
+  if (!is_observer || (!replicas_.empty() && from == replicas_[replica_])) {
+    last_heard_ = now;
+  }
   if (const auto* reply = std::get_if<HeartbeatReply>(&message)) {
     on_reply(*reply, now);
   } else if (const auto* update = std::get_if<FleetUpdate>(&message)) {
@@ -33,7 +37,40 @@
   }
 }
 
-void ControlClient::on_reply(const HeartbeatReply& reply, Instant /*now*/) {
+void ControlClient::take_replicas(const std::vector<Endpoint>& replicas) {
+  if (replicas.empty() || replicas == replicas_) {
+    return;
+  }
+  const Endpoint present = replicas_[replica_];
+  replicas_ = replicas;
+  const auto found = std::find(replicas_.begin(), replicas_.end(), present);
+  replica_ = found == replicas_.end() ? 0 : static_cast<std::size_t>(found - replicas_.begin());
+}
+
+void ControlClient::set_seeds(const std::vector<Endpoint>& seeds) {
+  if (seeds == seeds_ || seeds.empty()) {
+    return;
+  }
+  seeds_ = seeds;
+  for (const auto& seed : seeds) {
+    if (std::find(replicas_.begin(), replicas_.end(), seed) == replicas_.end()) {
+      replicas_.push_back(seed);
+    }
+  }
+}
+
+void ControlClient::next_replica(Instant now) {
+  replica_ = (replica_ + 1) % replicas_.size();
+  if (replica_ == 0) {
+    // All were asked in vain: the seeds may name others.
+    const std::vector<Endpoint> seeds = std::exchange(seeds_, {});
+    set_seeds(seeds);
+  }
+  last_heard_ = now;
+  next_heartbeat_ = now;
+}
+
+void ControlClient::on_reply(const HeartbeatReply& reply, Instant now) {
   const auto sent = heartbeats_sent_.find(reply.sequence);
   if (sent == heartbeats_sent_.end()) {
     return;
@@ -42,6 +79,21 @@
   lease_until_ = std::max(lease_until_, until);
   output_.on_lease(lease_until_);
   may_stop_ = may_stop_ || (reply.may_stop && self_.state == MemberState::kLeaving);
+  if (reply.is_current && fleet_.revision >= reply.revision) {
+    has_been_current_ = true;
+    current_at_ = std::max(current_at_, sent->second);
+  }
+  if (self_.state != MemberState::kObserver) {
+    return;
+  }
+  if (reply.is_current) {
+    take_replicas(reply.replicas);
+  } else {
+    // This replica may be cut off from the others: ask the next one, not sooner than usual.
+    const Instant next = next_heartbeat_;
+    next_replica(now);
+    next_heartbeat_ = next;
+  }
 }
 
 bool ControlClient::is_member(const FleetState& fleet) const {
@@ -91,6 +143,10 @@
     output_.on_expelled(now);
   }
   output_.on_fleet(fleet_, now);
+  if (self_.state == MemberState::kObserver && !has_been_current_) {
+    // Only a heartbeat with this state shows whether it is the newest.
+    send_heartbeat(0, now);
+  }
   if (is_member(fleet_) && lease_until_ <= now) {
     // A new member has no lease yet: it asks at once.
     send_heartbeat(0, now);
@@ -125,15 +181,14 @@
   if (sequence_ == 0) {
     last_heard_ = now;
   }
-  if (now - last_heard_ > kReplicaTimeout) {
-    replica_ = (replica_ + 1) % replicas_.size();
-    last_heard_ = now;
-    next_heartbeat_ = now;
+  if (now - last_heard_ > timing_.replica_timeout) {
+    output_.on_replica_silent(replicas_[replica_]);
+    next_replica(now);
   }
   // Progress is told at once, so that a change that waits for it goes on.
   const bool progress = settled_revision != reported_settled_ && settled_revision != 0;
   if (now >= next_heartbeat_ || progress) {
-    next_heartbeat_ = now + control_timing::kHeartbeatInterval;
+    next_heartbeat_ = now + timing_.heartbeat_interval;
     reported_settled_ = settled_revision;
     send_heartbeat(settled_revision, now);
   }
--- a/src/core/balancer/control_client.h
+++ b/src/core/balancer/control_client.h
@@ -23,6 +23,15 @@
   /// This process was removed from the members although it runs: others have taken over what it
   /// owned. It must drop its state and call `rejoin` with a new incarnation.
   virtual void on_expelled(Instant now) = 0;
+  /// The present replica does not answer: connections to it are of no use.
+  virtual void on_replica_silent(const Endpoint& /*replica*/) {}
+};
+
+/// How often a balancer reports, and how long it waits for a replica.
+struct ControlClientTiming {
+  Duration heartbeat_interval = std::chrono::milliseconds(1000);
+  /// A replica that is silent for this long is left for the next one.
+  Duration replica_timeout = std::chrono::milliseconds(1500);
 };
 
 /// Deliberate faults, for the test that shows that the checkers can fail. All off in programs.
@@ -50,6 +59,14 @@
   /// True when this process left the members and may end.
   [[nodiscard]] bool may_stop() const { return may_stop_; }
   [[nodiscard]] const FleetState& fleet() const { return fleet_; }
+  /// True once a replica that holds the newest committed state confirmed this one.
+  [[nodiscard]] bool has_been_current() const { return has_been_current_; }
+  /// When such a confirmed heartbeat was sent last.
+  [[nodiscard]] Instant current_at() const { return current_at_; }
+
+  void set_timing(const ControlClientTiming& timing) { timing_ = timing; }
+  /// Takes other addresses to ask, unless replicas have told theirs.
+  void set_seeds(const std::vector<Endpoint>& seeds);
 
  private:
   void on_update(const FleetUpdate& update, Instant now);
@@ -58,6 +75,8 @@
   [[nodiscard]] bool is_member(const FleetState& fleet) const;
   void on_reply(const HeartbeatReply& reply, Instant now);
   void send_heartbeat(Revision settled_revision, Instant now);
+  void take_replicas(const std::vector<Endpoint>& replicas);
+  void next_replica(Instant now);
 
   Member self_;
   std::vector<Endpoint> replicas_;
@@ -72,6 +91,10 @@
   Instant last_heard_;
   Instant lease_until_;
   bool may_stop_ = false;
+  ControlClientTiming timing_;
+  std::vector<Endpoint> seeds_;
+  bool has_been_current_ = false;
+  Instant current_at_;
   Revision reported_settled_ = 0;
 };
 
--- a/src/core/control/control_node.cc
+++ b/src/core/control/control_node.cc
@@ -10,6 +10,8 @@
 
 constexpr std::size_t kReportsRemembered = 16;
 constexpr Duration kNodeMemory = std::chrono::seconds(60);
+/// Pause between two looks at the silence of targets.
+constexpr Duration kConclusionInterval = std::chrono::milliseconds(500);
 
 }  // namespace
 
@@ -55,6 +57,11 @@
   reply.lease_ms = is_member ? static_cast<std::uint32_t>(left.count()) : 0;
   reply.may_stop = may_stop_.contains(heartbeat.member.address) ||
                    (!is_member && heartbeat.member.state == MemberState::kLeaving);
+  reply.is_current = replica_->is_current(now);
+  reply.revision = state_.fleet().revision;
+  for (const auto& replica : replica_->replicas().replicas) {
+    reply.replicas.push_back(replica.address);
+  }
   output_.send_node(from, reply);
   if (heartbeat.revision != state_.fleet().revision || heartbeat.digest != state_.digest()) {
     send_update(from, heartbeat.revision, heartbeat.digest);
@@ -151,7 +158,9 @@
     was_leader_ = true;
     pending_members_ = 0;
     membership_.on_elected(now);
+    registrations_.on_elected(now);
   }
+  lead_registrations(now);
   const std::vector<Endpoint> stop = MembershipController::may_stop(state_.fleet(), nodes_);
   may_stop_ = std::set<Endpoint>(stop.begin(), stop.end());
   if (pending_members_ > replica_->commit_index()) {
@@ -164,6 +173,65 @@
   }
 }
 
+void ControlNode::lead_registrations(Instant now) {
+  if (now < next_conclusion_) {
+    return;
+  }
+  next_conclusion_ = now + kConclusionInterval;
+  const RegistrationCommand conclusion = registrations_.conclude(state_.fleet().steering, now);
+  if (!conclusion.empty()) {
+    propose(conclusion, now);
+  }
+}
+
+std::optional<Proposal> ControlNode::propose(const SteeringCommand& command, Instant now) {
+  const auto index = replica_->propose(EntryType::kSteering, encode_archive(command), now);
+  push_updates(now);
+  return index ? std::optional(Proposal{*index, replica_->term()}) : std::nullopt;
+}
+
+std::optional<Proposal> ControlNode::propose(const RegistrationCommand& command, Instant now) {
+  const auto index = replica_->propose(EntryType::kRegistrations, encode_archive(command), now);
+  push_updates(now);
+  return index ? std::optional(Proposal{*index, replica_->term()}) : std::nullopt;
+}
+
+ProposalStatus ControlNode::status(const Proposal& proposal) const {
+  // A leader never replaces its own entries, so while it leads the same term, its index tells.
+  if (!replica_->is_leader() || replica_->term() != proposal.term) {
+    return ProposalStatus::kUnknown;
+  }
+  return replica_->commit_index() >= proposal.index ? ProposalStatus::kCommitted
+                                                    : ProposalStatus::kPending;
+}
+
+AnnouncementStatus ControlNode::hear(const RegisteredTarget& announced, Instant now) {
+  if (!replica_->has_lease(now)) {
+    return AnnouncementStatus::kNotLeader;
+  }
+  registrations_.on_heartbeat(announced.id, now);
+  RegistrationCommand command;
+  command.announced.push_back(announced);
+  const bool is_news = steering_delta(state_.fleet().steering, command).has_value();
+  return is_news ? AnnouncementStatus::kNews : AnnouncementStatus::kHeld;
+}
+
+AnnouncementStatus ControlNode::hear_end(TargetId id, Instant now) const {
+  if (!replica_->has_lease(now)) {
+    return AnnouncementStatus::kNotLeader;
+  }
+  const RegisteredTarget* known = find_target(state_.fleet().steering, id);
+  const bool ended = known != nullptr && known->phase == TargetPhase::kEnded;
+  return ended ? AnnouncementStatus::kHeld : AnnouncementStatus::kNews;
+}
+
+std::optional<Endpoint> ControlNode::other_leader(Instant now) const {
+  if (replica_->is_leader() || !replica_->hears_leader(now)) {
+    return std::nullopt;
+  }
+  return replica_->leader_address();
+}
+
 void ControlNode::on_tick(Instant now) {
   replica_->on_tick(now);
   if (replica_->is_leader()) {
--- a/src/core/control/control_node.h
+++ b/src/core/control/control_node.h
@@ -11,6 +11,7 @@
 #include "core/control/membership.h"
 #include "core/control/node_messages.h"
 #include "core/control/node_registry.h"
+#include "core/control/registration_monitor.h"
 #include "core/control/replica.h"
 
 namespace gorsevalve {
@@ -51,6 +52,29 @@
   std::vector<Member> lagging;
 };
 
+/// An entry that was appended here, to be asked about until it is decided.
+struct Proposal {
+  LogIndex index = 0;
+  Term term = 0;
+};
+
+enum class ProposalStatus : std::uint8_t {
+  kPending = 0,
+  kCommitted = 1,
+  /// This replica stopped leading: whether the entry is in force may go either way.
+  kUnknown = 2,
+};
+
+/// What a replica can say of a target's announcement without the log.
+enum class AnnouncementStatus : std::uint8_t {
+  /// The committed state says the same already.
+  kHeld = 0,
+  /// It must go through the log.
+  kNews = 1,
+  /// This replica cannot tell: it does not lead.
+  kNotLeader = 2,
+};
+
 class ControlNode {
  public:
   ControlNode(ReplicaConfig config, ReplicaSet first_replicas, StoredReplica stored,
@@ -67,6 +91,24 @@
   /// The outcome of a submission, if this replica has proof of leadership.
   [[nodiscard]] SubmissionResult outcome(const SubmissionId& id, Instant now) const;
 
+  /// Proposes a steering command; nothing when this replica cannot.
+  std::optional<Proposal> propose(const SteeringCommand& command, Instant now);
+  std::optional<Proposal> propose(const RegistrationCommand& command, Instant now);
+  [[nodiscard]] ProposalStatus status(const Proposal& proposal) const;
+  /// Notes that a target was heard, and tells whether what it said is news.
+  AnnouncementStatus hear(const RegisteredTarget& announced, Instant now);
+  /// Whether the end of a target is news.
+  [[nodiscard]] AnnouncementStatus hear_end(TargetId id, Instant now) const;
+  /// The leader that this replica heard within an election timeout, by its address; nothing when
+  /// it is this replica or unknown.
+  [[nodiscard]] std::optional<Endpoint> other_leader(Instant now) const;
+  void set_seeds(const std::vector<Endpoint>& seeds) { replica_->set_seeds(seeds); }
+  /// Hands leadership over before a planned stop.
+  void prepare_stop(Instant now) { replica_->transfer_leadership(now); }
+  void set_registration_timing(const RegistrationTiming& timing) {
+    registrations_ = RegistrationMonitor(timing);
+  }
+
   /// How many members have the present settings in force; meaningful on the leader.
   [[nodiscard]] ForceStatus force_status() const;
 
@@ -86,6 +128,7 @@
   void push_updates(Instant now);
   void report_to_leader(Instant now);
   void lead(Instant now);
+  void lead_registrations(Instant now);
   [[nodiscard]] Duration lease_left(Instant now) const;
 
   ReplicaConfig config_;
@@ -95,6 +138,8 @@
   std::unique_ptr<Replica> replica_;
   NodeRegistry nodes_;
   MembershipController membership_;
+  RegistrationMonitor registrations_{RegistrationTiming{}};
+  Instant next_conclusion_;
   bool was_leader_ = false;
   /// Revision up to which updates were pushed to each local node.
   std::map<Endpoint, Revision> pushed_;
--- a/src/core/control/control_state.cc
+++ b/src/core/control/control_state.cc
@@ -15,10 +15,11 @@
   std::string settings_text;
   std::vector<RevisionInfo> history;
   std::vector<SubmissionOutcome> outcomes;
+  std::string steering_text;
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive& fleet& settings_text& history& outcomes;
+    archive& fleet& settings_text& history& outcomes& steering_text;
   }
 };
 
@@ -100,6 +101,9 @@
   if (delta.members) {
     apply_members_part(fleet, *delta.members, delta.revision);
   }
+  if (delta.steering) {
+    apply_steering_delta(fleet.steering, *delta.steering);
+  }
   fleet.revision = delta.revision;
   return true;
 }
@@ -123,9 +127,41 @@
     if (const auto command = decode_archive<MembersCommand>(entry.payload)) {
       apply_members(entry.index, *command);
     }
+  } else if (entry.type == EntryType::kSteering) {
+    if (auto command = decode_archive<SteeringCommand>(entry.payload)) {
+      apply_steering(entry.index, std::move(*command));
+    }
+  } else if (entry.type == EntryType::kRegistrations) {
+    if (const auto command = decode_archive<RegistrationCommand>(entry.payload)) {
+      apply_registrations(entry.index, *command);
+    }
+  }
+}
+
+void ControlState::apply_steering(LogIndex index, SteeringCommand command) {
+  auto change = steering_delta(fleet_.steering, command.settings);
+  if (change) {
+    steering_text_ = std::move(command.text);
+    add_steering(index, std::move(*change));
+  }
+}
+
+void ControlState::apply_registrations(LogIndex index, const RegistrationCommand& command) {
+  auto change = steering_delta(fleet_.steering, command);
+  if (change) {
+    add_steering(index, std::move(*change));
   }
 }
 
+void ControlState::add_steering(LogIndex index, SteeringDelta change) {
+  FleetDelta delta;
+  delta.base = fleet_.revision;
+  delta.revision = index;
+  delta.steering = std::move(change);
+  apply_delta(fleet_, delta);
+  add_delta(std::move(delta));
+}
+
 void ControlState::apply_settings(LogIndex index, SettingsCommand command) {
   if (outcome(command.id)) {
     return;
@@ -196,7 +232,8 @@
 }
 
 Bytes ControlState::save() const {
-  SavedState saved{fleet_, settings_text_, history_, {outcomes_.begin(), outcomes_.end()}};
+  SavedState saved{
+      fleet_, settings_text_, history_, {outcomes_.begin(), outcomes_.end()}, steering_text_};
   return encode_archive(saved);
 }
 
@@ -208,6 +245,7 @@
   fleet_ = std::move(saved->fleet);
   digest_ = fleet_digest(fleet_);
   settings_text_ = std::move(saved->settings_text);
+  steering_text_ = std::move(saved->steering_text);
   history_ = std::move(saved->history);
   outcomes_.clear();
   outcome_numbers_.clear();
--- a/src/core/control/control_state.h
+++ b/src/core/control/control_state.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "core/control/replica.h"
+#include "core/control/steering_commands.h"
 #include "model/fleet.h"
 
 namespace gorsevalve {
@@ -90,10 +91,13 @@
   std::vector<Endpoint> removed_services;
   /// Set when the members changed.
   std::optional<MembersCommand> members;
+  /// Set when the steering state changed.
+  std::optional<SteeringDelta> steering;
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive& base& revision& has_settings& deployment& upserted_services& removed_services& members;
+    archive& base& revision& has_settings& deployment& upserted_services& removed_services& members&
+        steering;
   }
 };
 
@@ -120,6 +124,8 @@
   [[nodiscard]] const FleetState& fleet() const { return fleet_; }
   [[nodiscard]] std::uint64_t digest() const { return digest_; }
   [[nodiscard]] const std::string& settings_text() const { return settings_text_; }
+  /// The steering settings as they were submitted.
+  [[nodiscard]] const std::string& steering_text() const { return steering_text_; }
   [[nodiscard]] const std::vector<RevisionInfo>& history() const { return history_; }
   /// Outcome of a submission; nothing when it was not decided or is forgotten.
   [[nodiscard]] std::optional<SubmissionOutcome> outcome(const SubmissionId& id) const;
@@ -129,12 +135,16 @@
  private:
   void apply_settings(LogIndex index, SettingsCommand command);
   void apply_members(LogIndex index, const MembersCommand& command);
+  void apply_steering(LogIndex index, SteeringCommand command);
+  void apply_registrations(LogIndex index, const RegistrationCommand& command);
+  void add_steering(LogIndex index, SteeringDelta change);
   void remember(SubmissionOutcome outcome);
   void add_delta(FleetDelta delta);
 
   FleetState fleet_;
   std::uint64_t digest_ = 0;
   std::string settings_text_;
+  std::string steering_text_;
   std::vector<RevisionInfo> history_;
   std::deque<SubmissionOutcome> outcomes_;
   std::map<SubmissionId, std::size_t> outcome_numbers_;
--- a/src/core/control/log_entry.h
+++ b/src/core/control/log_entry.h
@@ -28,6 +28,10 @@
   kMembers = 2,
   /// A ReplicaSet: in force as soon as it is in the log.
   kReplicas = 3,
+  /// A SteeringCommand.
+  kSteering = 4,
+  /// A RegistrationCommand.
+  kRegistrations = 5,
 };
 
 struct LogEntry {
--- a/src/core/control/node_messages.h
+++ b/src/core/control/node_messages.h
@@ -33,10 +33,15 @@
   std::uint32_t lease_ms = 0;
   /// Set when a leaving balancer may end: all others have settled without it.
   bool may_stop = false;
+  /// The replica holds what a living leader has committed; `revision` is what it holds.
+  bool is_current = false;
+  Revision revision = 0;
+  /// Where replicas listen, for the time after this one.
+  std::vector<Endpoint> replicas{};
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive& sequence& lease_ms& may_stop;
+    archive& sequence& lease_ms& may_stop& is_current& revision& replicas;
   }
 };
 
--- a/src/core/control/replica.cc
+++ b/src/core/control/replica.cc
@@ -10,6 +10,11 @@
 namespace {
 
 constexpr Duration kJoinInterval = std::chrono::milliseconds(500);
+/// A replica that heard of no leader for this long asks to be taken in, even where it believes that
+/// it is a voter.
+constexpr Duration kOutsiderAfter = std::chrono::milliseconds(3000);
+/// A voter that confirmed nothing to the leader for this long may be removed.
+constexpr Duration kVoterLostAfter = std::chrono::milliseconds(2000);
 
 }  // namespace
 
@@ -74,9 +79,31 @@
   output_.send(to, message);
 }
 
-bool Replica::persist(const LogFrame& frame) {
-  failed_ = failed_ || !storage_.append(frame);
-  return !failed_;
+bool Replica::persist(LogFrame frame) {
+  if (failed_) {
+    return false;
+  }
+  if (hard_state_unsaved_) {
+    frame.hard_state = hard_state_;
+  }
+  if (storage_.append(frame)) {
+    hard_state_unsaved_ = false;
+    return true;
+  }
+  hard_state_unsaved_ = hard_state_unsaved_ || frame.hard_state.has_value();
+  failed_ = !storage_.can_try_again();
+  return false;
+}
+
+bool Replica::is_current(Instant now) const {
+  if (is_leader()) {
+    return has_lease(now);
+  }
+  return hears_leader(now) && applied_index_ >= leader_commit_;
+}
+
+bool Replica::hears_leader(Instant now) const {
+  return leader_ && now - leader_heard_at_ < control_timing::kElectionTimeout;
 }
 
 void Replica::become_follower(Term term, Instant now) {
@@ -115,7 +142,9 @@
   // cut off cannot depose a leader that works.
   const bool leader_lives =
       is_leader() ? has_lease(now) : now - leader_heard_at_ < control_timing::kElectionTimeout;
-  if (vote_request != nullptr && leader_lives && !config_.faults.vote_while_leader_lives) {
+  const bool looks_at_vote = !leader_lives || config_.faults.vote_while_leader_lives ||
+                             (vote_request != nullptr && vote_request->leader_agrees);
+  if (vote_request != nullptr && !looks_at_vote) {
     return false;
   }
   if (message.term > hard_state_.term && !asks_pre_vote && !answers_pre_vote) {
@@ -144,7 +173,7 @@
   }
   const LogIndex index = last_index() + 1;
   append_as_leader({hard_state_.term, index, type, std::move(payload)}, now);
-  return failed_ ? std::nullopt : std::optional(index);
+  return last_index() < index ? std::nullopt : std::optional(index);
 }
 
 Instant Replica::majority_confirmed_at(Instant now) const {
@@ -208,20 +237,34 @@
     ask_to_join(now);
     return;
   }
+  if (now - leader_heard_at_ > kOutsiderAfter) {
+    // Perhaps the others removed this replica while it was away.
+    send_join_requests(now);
+  }
   if (now >= election_at_) {
     start_election(true, now);
   }
 }
 
 void Replica::ask_to_join(Instant now) {
-  if (now < next_join_ || replicas_.find(config_.id) != nullptr) {
+  const bool admitted = replicas_.find(config_.id) != nullptr;
+  if (!admitted || now - leader_heard_at_ > kOutsiderAfter) {
+    send_join_requests(now);
+  }
+}
+
+void Replica::send_join_requests(Instant now) {
+  if (now < next_join_) {
     return;
   }
   next_join_ = now + kJoinInterval;
-  for (const auto& seed : config_.seeds) {
-    if (seed != config_.address) {
-      send(seed, hard_state_.term, {0, 0, JoinRequest{config_.address}});
-    }
+  std::set<Endpoint> asked(config_.seeds.begin(), config_.seeds.end());
+  for (const auto& replica : replicas_.replicas) {
+    asked.insert(replica.address);
+  }
+  asked.erase(config_.address);
+  for (const auto& address : asked) {
+    send(address, hard_state_.term, {0, 0, JoinRequest{config_.address}});
   }
 }
 
@@ -237,28 +280,70 @@
   if (!has_lease(now) || replicas_index_ > commit_index_) {
     return;
   }
+  if (take_in_joining(now)) {
+    return;
+  }
   ReplicaSet changed = replicas_;
-  if (!joining_.empty()) {
+  if (const ReplicaInfo* learner = caught_up_learner()) {
+    for (auto& replica : changed.replicas) {
+      replica.voter = replica.voter || replica.id == learner->id;
+    }
+    propose(EntryType::kReplicas, encode_archive(changed), now);
+    return;
+  }
+  // A voter that is gone is removed when that leaves an odd number of voters: its place was taken,
+  // and the fewer voters bear as many losses. It is taken in again when it comes back.
+  const auto voters = std::count_if(changed.replicas.begin(), changed.replicas.end(),
+                                    [](const ReplicaInfo& replica) { return replica.voter; });
+  const ReplicaInfo* lost = lost_voter(now);
+  if (voters % 2 == 0 && voters > 2 && lost != nullptr) {
+    std::erase_if(changed.replicas,
+                  [id = lost->id](const ReplicaInfo& replica) { return replica.id == id; });
+    propose(EntryType::kReplicas, encode_archive(changed), now);
+  }
+}
+
+bool Replica::take_in_joining(Instant now) {
+  while (!joining_.empty()) {
     const ReplicaId id = joining_.begin()->first;
     const Endpoint address = joining_.begin()->second;
     joining_.erase(joining_.begin());
-    if (changed.find(id) == nullptr) {
-      // The process at this address has a new identity: the old one is gone with its disk.
-      std::erase_if(changed.replicas,
-                    [&](const ReplicaInfo& replica) { return replica.address == address; });
-      changed.replicas.push_back({id, address, false});
-      propose(EntryType::kReplicas, encode_archive(changed), now);
+    if (replicas_.find(id) != nullptr) {
+      continue;
     }
-    return;
+    // The process at this address has a new identity: the old one is gone with its disk.
+    ReplicaSet changed = replicas_;
+    std::erase_if(changed.replicas,
+                  [&](const ReplicaInfo& replica) { return replica.address == address; });
+    changed.replicas.push_back({id, address, false});
+    propose(EntryType::kReplicas, encode_archive(changed), now);
+    return true;
   }
-  for (auto& replica : changed.replicas) {
-    const Progress& progress = progress_[replica.id];
-    const bool caught_up = progress.match_index >= commit_index_ && progress.match_index > 0;
-    if (!replica.voter && caught_up) {
-      replica.voter = true;
-      propose(EntryType::kReplicas, encode_archive(changed), now);
-      return;
-    }
+  return false;
+}
+
+const ReplicaInfo* Replica::lost_voter(Instant now) const {
+  if (now - leader_since_ < kVoterLostAfter) {
+    return nullptr;
   }
+  const auto found = std::find_if(replicas_.replicas.begin(), replicas_.replicas.end(),
+                                  [&](const ReplicaInfo& replica) {
+                                    const auto progress = progress_.find(replica.id);
+                                    return replica.voter && replica.id != config_.id &&
+                                           (progress == progress_.end() ||
+                                            now - progress->second.confirmed_at > kVoterLostAfter);
+                                  });
+  return found == replicas_.replicas.end() ? nullptr : &*found;
+}
+
+const ReplicaInfo* Replica::caught_up_learner() const {
+  const auto found = std::find_if(
+      replicas_.replicas.begin(), replicas_.replicas.end(), [&](const ReplicaInfo& replica) {
+        const auto progress = progress_.find(replica.id);
+        return !replica.voter && progress != progress_.end() && progress->second.match_index > 0 &&
+               progress->second.match_index >= commit_index_;
+      });
+  return found == replicas_.replicas.end() ? nullptr : &*found;
 }
+
 }  // namespace gorsevalve
--- a/src/core/control/replica.h
+++ b/src/core/control/replica.h
@@ -16,11 +16,14 @@
 
 namespace gorsevalve {
 
-/// Where a replica keeps its durable state. `false` means that the state is no longer safe; the
-/// replica stops for good.
+/// Where a replica keeps its durable state. `false` means that nothing was written. The replica
+/// then stops for good, unless the storage can be tried again.
 class ReplicaStorage {
  public:
   virtual ~ReplicaStorage() = default;
+  /// True when a refused write left the storage as it was (a full disk, say): the replica lives on
+  /// without acknowledging anything, and tries again.
+  [[nodiscard]] virtual bool can_try_again() const { return false; }
   [[nodiscard]] virtual bool append(const LogFrame& frame) = 0;
   [[nodiscard]] virtual bool replace_with_snapshot(const Snapshot& snapshot,
                                                    const LogFrame& frame) = 0;
@@ -70,7 +73,7 @@
   static constexpr std::size_t kSnapshotEntries = 1024;
   /// Octets of entries after the last snapshot that lead to a new one: bounds the log on disk and
   /// the time to replay it.
-  static constexpr std::size_t kSnapshotOctets = 16U << 20U;
+  static constexpr std::size_t kSnapshotOctets = 4U << 20U;
 
   /// All references must outlive the replica. `stored` is what the storage held at the start.
   Replica(ReplicaConfig config, ReplicaSet first_replicas, StoredReplica stored,
@@ -88,11 +91,20 @@
   /// True while no other replica can have become leader, and everything that was committed before
   /// is applied here.
   [[nodiscard]] bool has_lease(Instant now) const;
+  /// True when this replica holds what a leader that lives has committed: the leader by its lease,
+  /// a follower by what it heard within an election timeout.
+  [[nodiscard]] bool is_current(Instant now) const;
+  /// True when this replica follows a leader that it heard within an election timeout.
+  [[nodiscard]] bool hears_leader(Instant now) const;
+  /// Gives up leadership in favour of the follower that has most of the log.
+  void transfer_leadership(Instant now);
   /// Address of the present leader, if it is known.
   [[nodiscard]] std::optional<Endpoint> leader_address() const;
   /// True after storage failed: the process must end.
   [[nodiscard]] bool has_failed() const { return failed_; }
 
+  /// Other addresses to ask for admission.
+  void set_seeds(std::vector<Endpoint> seeds) { config_.seeds = std::move(seeds); }
   [[nodiscard]] ReplicaId id() const { return config_.id; }
   [[nodiscard]] Term term() const { return hard_state_.term; }
   [[nodiscard]] LogIndex commit_index() const { return commit_index_; }
@@ -118,6 +130,7 @@
   void handle(const ReplicaMessage& message, const AppendReply& reply, Instant now);
   void handle(const ReplicaMessage& message, const SnapshotRequest& request, Instant now);
   void handle(const ReplicaMessage& message, const JoinRequest& request, Instant now);
+  void handle(const ReplicaMessage& message, const LeadershipTransfer& transfer, Instant now);
 
   void follow_leader(const ReplicaMessage& message, Instant now);
   /// Adds the entries that are not there yet, in place of others from the first difference on.
@@ -127,7 +140,9 @@
   [[nodiscard]] bool log_is_current(const VoteRequest& request) const;
   void become_follower(Term term, Instant now);
   void become_leader(Instant now);
-  void start_election(bool pre_vote, Instant now);
+  void start_election(bool pre_vote, Instant now, bool leader_agrees = false);
+  /// Stops leading because the disk refuses writes.
+  void step_down_without_disk(Instant now);
   void count_vote(bool pre_vote, Instant now);
   void reset_election_timer(Instant now);
 
@@ -136,11 +151,16 @@
   void append_as_leader(LogEntry entry, Instant now);
   void advance_commit(Instant now);
   void apply_committed();
-  bool persist(const LogFrame& frame);
+  bool persist(LogFrame frame);
   void maybe_snapshot();
   void find_replicas();
   void change_replicas(Instant now);
+  [[nodiscard]] bool take_in_joining(Instant now);
+  /// A voter that has confirmed nothing for kVoterLostAfter, or nullptr.
+  [[nodiscard]] const ReplicaInfo* lost_voter(Instant now) const;
+  [[nodiscard]] const ReplicaInfo* caught_up_learner() const;
   void ask_to_join(Instant now);
+  void send_join_requests(Instant now);
 
   [[nodiscard]] const LogEntry* entry(LogIndex index) const;
   [[nodiscard]] Term term_at(LogIndex index) const;
@@ -156,6 +176,8 @@
   std::mt19937_64 random_;
 
   HardState hard_state_;
+  /// The storage refused the present hard state: the next frame repeats it.
+  bool hard_state_unsaved_ = false;
   std::optional<Snapshot> snapshot_;
   std::vector<LogEntry> entries_;
   ReplicaSet replicas_;
@@ -169,7 +191,10 @@
   /// Octets of the applied entries after the last snapshot.
   std::size_t applied_octets_ = 0;
   std::optional<ReplicaId> leader_;
+  /// Highest commit index that the leader told.
+  LogIndex leader_commit_ = 0;
   Instant leader_heard_at_;
+  Instant leader_since_;
   Instant election_at_;
   bool in_pre_vote_ = false;
   std::set<ReplicaId> votes_;
--- a/src/core/control/replica_election.cc
+++ b/src/core/control/replica_election.cc
@@ -3,6 +3,12 @@
 #include "core/control/timing.h"
 
 namespace gorsevalve {
+namespace {
+
+/// A replica whose disk refuses writes waits longer before it stands for election again.
+constexpr Duration kDisklessPause = std::chrono::milliseconds(1500);
+
+}  // namespace
 
 void Replica::reset_election_timer(Instant now) {
   std::uniform_int_distribution<std::int64_t> spread(0, control_timing::kElectionTimeout.count());
@@ -17,7 +23,8 @@
   return request.last_index >= last_index();
 }
 
-void Replica::start_election(bool pre_vote, Instant now) {
+void Replica::start_election(bool pre_vote, Instant now, bool leader_agrees) {
+  const HardState before = hard_state_;
   reset_election_timer(now);
   role_ = ReplicaRole::kCandidate;
   leader_.reset();
@@ -26,11 +33,15 @@
   if (!pre_vote) {
     hard_state_ = {hard_state_.term + 1, config_.id};
     if (!persist({hard_state_, std::nullopt, {}})) {
+      // Nobody has seen the new term, so it never was.
+      hard_state_ = before;
+      step_down_without_disk(now);
       return;
     }
   }
   const Term term = pre_vote ? hard_state_.term + 1 : hard_state_.term;
-  const VoteRequest request{pre_vote, last_index(), term_at(last_index()), config_.address};
+  const VoteRequest request{pre_vote, last_index(), term_at(last_index()), config_.address,
+                            leader_agrees};
   for (const auto& replica : replicas_.replicas) {
     if (replica.voter && replica.id != config_.id) {
       send(replica.address, term, {0, 0, request});
@@ -53,6 +64,7 @@
 void Replica::become_leader(Instant now) {
   role_ = ReplicaRole::kLeader;
   leader_ = config_.id;
+  leader_since_ = now;
   progress_.clear();
   for (const auto& replica : replicas_.replicas) {
     progress_[replica.id].next_index = last_index() + 1;
@@ -93,4 +105,43 @@
   }
 }
 
+void Replica::step_down_without_disk(Instant now) {
+  transfer_leadership(now);
+  role_ = ReplicaRole::kFollower;
+  leader_.reset();
+  reset_election_timer(now);
+  election_at_ += kDisklessPause;
+}
+
+void Replica::transfer_leadership(Instant now) {
+  if (!is_leader()) {
+    return;
+  }
+  const ReplicaInfo* best = nullptr;
+  LogIndex best_index = 0;
+  for (const auto& replica : replicas_.replicas) {
+    const Progress& progress = progress_[replica.id];
+    const bool lives = now - progress.confirmed_at < control_timing::kElectionTimeout;
+    if (replica.voter && replica.id != config_.id && lives && progress.match_index >= best_index) {
+      best = &replica;
+      best_index = progress.match_index;
+    }
+  }
+  // From here on this replica does not act as leader: the election that follows ignores its lease.
+  role_ = ReplicaRole::kFollower;
+  leader_.reset();
+  reset_election_timer(now);
+  if (best != nullptr) {
+    send(best->address, hard_state_.term, {0, 0, LeadershipTransfer{}});
+  }
+}
+
+void Replica::handle(const ReplicaMessage& message, const LeadershipTransfer& /*transfer*/,
+                     Instant now) {
+  const bool from_leader = leader_ == message.from && message.term == hard_state_.term;
+  if (from_leader && role_ == ReplicaRole::kFollower && replicas_.is_voter(config_.id)) {
+    start_election(false, now, true);
+  }
+}
+
 }  // namespace gorsevalve
--- a/src/core/control/replica_log.cc
+++ b/src/core/control/replica_log.cc
@@ -21,6 +21,7 @@
   LogFrame frame;
   frame.entries.push_back(entry);
   if (!persist(frame)) {
+    step_down_without_disk(now);
     return;
   }
   const bool changes_replicas = entry.type == EntryType::kReplicas;
@@ -119,7 +120,11 @@
   std::vector<LogEntry> rest(
       entries_.begin() + static_cast<std::ptrdiff_t>(applied_index_ - snapshot_index()),
       entries_.end());
-  failed_ = !storage_.replace_with_snapshot(snapshot, {hard_state_, std::nullopt, rest});
+  if (!storage_.replace_with_snapshot(snapshot, {hard_state_, std::nullopt, rest})) {
+    failed_ = !storage_.can_try_again();
+    return;
+  }
+  hard_state_unsaved_ = false;
   snapshot_ = std::move(snapshot);
   entries_ = std::move(rest);
 }
@@ -158,6 +163,7 @@
 
 void Replica::handle(const ReplicaMessage& message, const AppendRequest& request, Instant now) {
   follow_leader(message, now);
+  leader_commit_ = std::max(leader_commit_, request.commit_index);
   // A learner that was just taken in may learn its leader's address from these very entries.
   std::optional<Endpoint> leader_address = this->leader_address();
   AppendReply reply{false, 0, request.sent_at_us};
@@ -218,10 +224,11 @@
       rest.assign(entries_.begin() + static_cast<std::ptrdiff_t>(snapshot.index - snapshot_index()),
                   entries_.end());
     }
-    failed_ = !storage_.replace_with_snapshot(snapshot, {hard_state_, std::nullopt, rest});
-    if (failed_) {
+    if (!storage_.replace_with_snapshot(snapshot, {hard_state_, std::nullopt, rest})) {
+      failed_ = !storage_.can_try_again();
       return;
     }
+    hard_state_unsaved_ = false;
     snapshot_ = snapshot;
     entries_ = std::move(rest);
     commit_index_ = snapshot.index;
--- a/src/core/control/replica_messages.h
+++ b/src/core/control/replica_messages.h
@@ -18,10 +18,12 @@
   Term last_term = 0;
   /// Where the candidate listens. A voter may not have learned yet that the candidate is one.
   Endpoint address;
+  /// The leader itself asked for this election, so its lease protects nobody any more.
+  bool leader_agrees = false;
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive& pre_vote& last_index& last_term& address;
+    archive& pre_vote& last_index& last_term& address& leader_agrees;
   }
 };
 
@@ -81,10 +83,17 @@
   }
 };
 
+/// A leader that stops asks its best follower to take over at once (Raft, section 3.10).
+struct LeadershipTransfer {
+  template <class Archive>
+  void serialize(Archive& /*archive*/, unsigned /*version*/) {}
+};
+
 struct ReplicaMessage {
   ReplicaId from = 0;
   Term term = 0;
-  std::variant<VoteRequest, VoteReply, AppendRequest, AppendReply, SnapshotRequest, JoinRequest>
+  std::variant<VoteRequest, VoteReply, AppendRequest, AppendReply, SnapshotRequest, JoinRequest,
+               LeadershipTransfer>
       body;
 };
 
--- /dev/null
+++ b/src/core/steering/flow_steering.h
@@ -0,0 +1,111 @@
+/// Decides where each packet of a caller goes when both ends of a flow reflect a token: the first
+/// packet of a flow chooses a target and writes its token, every later one carries it. No balancer
+/// holds state that an open flow needs. A state machine without sockets or clocks.
+#pragma once
+
+#include <memory>
+
+#include "core/steering/flow_table.h"
+#include "core/steering/steering_view.h"
+#include "core/steering/target_scores.h"
+
+namespace gorsevalve {
+
+/// What steering reads of a packet from a caller.
+struct CallerPacket {
+  SteeredFlow flow;
+  bool opens = false;
+  bool closes = false;
+  bool resets = false;
+  /// Copies of the opening packet that went before this one.
+  std::uint32_t copies_before = 0;
+  /// Last octet that the caller has of the other end.
+  std::uint32_t acknowledged = 0;
+  std::uint32_t data_size = 0;
+  FlowToken token = 0;
+};
+
+enum class SteeringAction : std::uint8_t {
+  kForward = 0,
+  /// Tell the caller at once that the flow does not exist here.
+  kReset = 1,
+  kDrop = 2,
+};
+
+/// Why a packet was not forwarded, or how its target was found.
+enum class SteeringReason : std::uint8_t {
+  kToken = 0,
+  kPlaced = 1,
+  kCopy = 2,
+  kPlacedAgain = 3,
+  kNoState = 4,
+  kNoFrontend = 5,
+  kFrontendDropped = 6,
+  kNoTarget = 7,
+  kNoToken = 8,
+  kUnknownToken = 9,
+  kForeignToken = 10,
+  kTargetReplaced = 11,
+};
+constexpr std::size_t kSteeringReasons = 12;
+
+/// Name of a reason in logs and metrics.
+std::string_view to_string(SteeringReason reason);
+
+struct SteeringDecision {
+  SteeringAction action = SteeringAction::kDrop;
+  SteeringReason reason = SteeringReason::kNoState;
+  /// Set when the packet is forwarded; valid until the next `adopt`.
+  const RegisteredTarget* target = nullptr;
+};
+
+/// Deliberate faults, for the test that shows that the checkers can fail. All off in programs.
+struct SteeringFaults {
+  bool place_on_leaving = false;
+  bool ignore_token = false;
+  bool accept_foreign_tokens = false;
+};
+
+class FlowSteering {
+ public:
+  /// `seed` makes balancers break ties differently.
+  explicit FlowSteering(std::uint64_t seed) : seed_(seed) {}
+
+  /// Takes a newer state. Never called with an older one.
+  void adopt(const SteeringState& state, Instant now);
+
+  SteeringDecision on_packet(const CallerPacket& packet, Instant now);
+  /// Forgets what has rested; to be called about once a second.
+  void on_tick(Instant now);
+
+  /// True once settings are in force.
+  [[nodiscard]] bool has_settings() const { return view_ != nullptr && view_->version() > 0; }
+  [[nodiscard]] std::size_t flows() const { return flows_.size(); }
+  [[nodiscard]] const TargetScores& scores() const { return scores_; }
+  void set_faults(const SteeringFaults& faults) { faults_ = faults; }
+
+ private:
+  SteeringDecision open(const FrontendView& frontend, const CallerPacket& packet, Instant now);
+  SteeringDecision follow(const FrontendView& frontend, const CallerPacket& packet, Instant now);
+  const RegisteredTarget* place(const FrontendView& frontend, const CallerPacket& packet,
+                                TargetId avoided, Instant now);
+  /// The pool whose turn it is by weight (smooth weighted round robin).
+  std::uint32_t next_pool(const FrontendView& frontend);
+  const RegisteredTarget* best_of(std::uint32_t pool, const CallerPacket& packet, TargetId avoided,
+                                  Instant now) const;
+  [[nodiscard]] double typical_answer_us(std::uint32_t pool, Instant now) const;
+  void note(const CallerPacket& packet, TargetId target, Instant now);
+  void note_request(FlowEntry& entry, const CallerPacket& packet, Instant now);
+  void end_request(FlowEntry& entry);
+  void remove_load(const FlowEntry& entry);
+
+  std::uint64_t seed_;
+  std::unique_ptr<SteeringView> view_;
+  FlowTable flows_;
+  TargetScores scores_;
+  SteeringFaults faults_;
+  /// Credit of each share of a frontend for the weighted round robin.
+  absl::flat_hash_map<Endpoint, std::vector<std::int64_t>> credits_;
+};
+
+}  // namespace gorsevalve
--- /dev/null
+++ b/src/core/steering/flow_table.cc
@@ -0,0 +1,37 @@
+#include "core/steering/flow_table.h"
+
+namespace gorsevalve {
+namespace {
+
+/// How long an opening or closing flow may send copies of its packets.
+constexpr Duration kHandshakeTime = std::chrono::seconds(4);
+
+}  // namespace
+
+FlowEntry* FlowTable::find(const SteeredFlow& flow) {
+  const auto found = entries_.find(flow);
+  return found == entries_.end() ? nullptr : &found->second;
+}
+
+FlowEntry* FlowTable::insert(const SteeredFlow& flow, const FlowEntry& entry) {
+  if (entries_.size() >= kMaxEntries) {
+    return nullptr;
+  }
+  FlowEntry& slot = entries_[flow];
+  slot = entry;
+  return &slot;
+}
+
+void FlowTable::expire(Duration idle_timeout, Instant now, const Visitor& on_expired) {
+  absl::erase_if(entries_, [&](const auto& item) {
+    const FlowEntry& entry = item.second;
+    const Duration allowed = entry.phase == FlowPhase::kOpen ? idle_timeout : kHandshakeTime;
+    const bool expired = now - entry.last_seen > allowed;
+    if (expired) {
+      on_expired(entry);
+    }
+    return expired;
+  });
+}
+
+}  // namespace gorsevalve
--- /dev/null
+++ b/src/core/steering/target_scores.cc
@@ -0,0 +1,94 @@
+#include "core/steering/target_scores.h"
+
+#include <absl/container/flat_hash_set.h>
+
+#include <algorithm>
+
+namespace gorsevalve {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Unanswered opening packets that make a target suspected.
+constexpr std::uint32_t kSuspectAfter = 2;
+constexpr Duration kSuspicion = seconds(2);
+/// Share of a new sample in the smoothed answer time.
+constexpr double kSmoothing = 0.2;
+/// A sample is believed for this long.
+constexpr Duration kAnswerLifetime = seconds(8);
+/// A target counts as slow from this multiple of the usual answer time on.
+constexpr double kSlowFactor = 1.8;
+constexpr double kMaxPenalty = 8;
+/// How much work a warming target takes compared with a warm one, inverted.
+constexpr double kColdPenalty = 1.6;
+/// A request under way weighs as much as this many open flows.
+constexpr double kBusyWeight = 2;
+
+}  // namespace
+
+void TargetScores::adopt(const std::vector<RegisteredTarget>& targets, Instant now) {
+  absl::flat_hash_set<TargetId> present;
+  for (const auto& target : targets) {
+    present.insert(target.id);
+    const auto [found, is_new] = scores_.try_emplace(target.id);
+    if (is_new) {
+      found->second.warm_at = now + milliseconds(target.warm_up_ms);
+    }
+  }
+  absl::erase_if(scores_, [&](const auto& entry) { return !present.contains(entry.first); });
+}
+
+const TargetScore* TargetScores::find(TargetId id) const {
+  const auto found = scores_.find(id);
+  return found == scores_.end() ? nullptr : &found->second;
+}
+
+void TargetScores::on_opened(TargetId id) {
+  TargetScore& score = at(id);
+  score.unanswered = 0;
+  score.suspected_until = Instant{};
+}
+
+void TargetScores::on_unanswered(TargetId id, Instant now) {
+  TargetScore& score = at(id);
+  ++score.unanswered;
+  if (score.unanswered >= kSuspectAfter) {
+    score.suspected_until = now + kSuspicion;
+  }
+}
+
+void TargetScores::on_answer(TargetId id, Duration took, Instant now) {
+  TargetScore& score = at(id);
+  const auto sample = static_cast<double>(took.count());
+  const bool fresh = score.answer_us > 0 && now - score.answer_at < kAnswerLifetime;
+  score.answer_us = fresh ? score.answer_us + kSmoothing * (sample - score.answer_us) : sample;
+  score.answer_at = now;
+}
+
+bool TargetScores::is_suspected(TargetId id, Instant now) const {
+  const TargetScore* score = find(id);
+  return score != nullptr && now < score->suspected_until;
+}
+
+double TargetScores::recent_answer_us(TargetId id, Instant now) const {
+  const TargetScore* score = find(id);
+  const bool recent = score != nullptr && now - score->answer_at < kAnswerLifetime;
+  return recent ? score->answer_us : 0;
+}
+
+double TargetScores::load(const RegisteredTarget& target, double typical_us, Instant now) const {
+  const TargetScore* score = find(target.id);
+  if (score == nullptr) {
+    return 0;
+  }
+  double penalty = now < score->warm_at ? kColdPenalty : 1;
+  const double answer_us = recent_answer_us(target.id, now);
+  if (typical_us > 0 && answer_us > kSlowFactor * typical_us) {
+    penalty *= std::min(answer_us / typical_us, kMaxPenalty);
+  }
+  const double work = score->open_flows + kBusyWeight * score->busy_flows + 1;
+  return work * penalty / std::max<std::uint32_t>(target.slots, 1);
+}
+
+}  // namespace gorsevalve
--- a/src/model/fleet.h
+++ b/src/model/fleet.h
@@ -7,6 +7,7 @@
 
 #include "model/endpoint.h"
 #include "model/settings.h"
+#include "model/steering.h"
 
 namespace gorsevalve {
 
@@ -15,6 +16,8 @@
   kActive = 0,
   /// Asked to leave: owns nothing in the new revision, still hands over and relays.
   kLeaving = 1,
+  /// Follows the state and owns nothing, now or later: a balancer that steers by reflected tokens.
+  kObserver = 2,
 };
 
 /// One balancer process.
@@ -54,13 +57,14 @@
   std::vector<Member> members;
   /// Members before the last membership change: whom a new owner asks for its state.
   std::vector<Member> previous_members;
+  SteeringState steering;
 
   friend bool operator==(const FleetState&, const FleetState&) = default;
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
     archive& revision& settings_revision& members_revision& members_epoch& partitions& settings&
-        members& previous_members;
+        members& previous_members& steering;
   }
 };
 
--- /dev/null
+++ b/src/model/steering.h
@@ -0,0 +1,147 @@
+/// State of flow steering by reflected tokens: frontends with weighted pools, as operators submit
+/// them, and the targets that announced themselves. Replicated to every balancer; see
+/// docs/PLATFORM.md.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "model/endpoint.h"
+
+namespace gorsevalve {
+
+/// Number of one life of a target: a restarted target has another one.
+using TargetId = std::uint64_t;
+/// Short name of a target that both ends of a flow reflect; never 0 for a target.
+using FlowToken = std::uint32_t;
+/// Version that the operator gives to a whole file; the highest one holds.
+using OperatorVersion = std::uint64_t;
+
+/// A share of a frontend's new flows that goes to one pool.
+struct WeightedPool {
+  std::string pool;
+  std::uint32_t weight = 0;
+
+  friend bool operator==(const WeightedPool&, const WeightedPool&) = default;
+
+  template <class Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    archive& pool& weight;
+  }
+};
+
+/// An address that callers open flows to.
+struct Frontend {
+  std::string name;
+  Endpoint address;
+  std::vector<WeightedPool> pools;
+  /// Pools of earlier revisions of this frontend: flows that opened then stay there.
+  std::vector<std::string> former_pools;
+  std::uint32_t timeout_ms = 0;
+  std::uint32_t latency_objective_ms = 0;
+
+  friend bool operator==(const Frontend&, const Frontend&) = default;
+
+  template <class Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    archive& name& address& pools& former_pools& timeout_ms& latency_objective_ms;
+  }
+};
+
+/// Interchangeable targets.
+struct Pool {
+  std::string name;
+  std::uint32_t max_connections = 0;
+
+  friend bool operator==(const Pool&, const Pool&) = default;
+
+  template <class Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    archive& name& max_connections;
+  }
+};
+
+/// One whole file of an operator.
+struct SteeringSettings {
+  OperatorVersion version = 0;
+  std::vector<Frontend> frontends;
+  std::vector<Pool> pools;
+  /// A flow may be forgotten when it has rested for this long.
+  std::uint32_t idle_timeout_ms = 0;
+
+  friend bool operator==(const SteeringSettings&, const SteeringSettings&) = default;
+
+  template <class Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    archive& version& frontends& pools& idle_timeout_ms;
+  }
+};
+
+/// How far a target is in its life. Phases only grow, except that a silent target that announces
+/// itself again is ready again.
+enum class TargetPhase : std::uint8_t {
+  kReady = 0,
+  /// Heartbeats stopped: no new flows while there is another target.
+  kSilent = 1,
+  /// Asked to leave: keeps its flows, gets no new ones.
+  kDraining = 2,
+  /// Said that it leaves for good. Its open flows may go on for some time.
+  kEnded = 3,
+};
+
+/// A target as it announced itself last.
+struct RegisteredTarget {
+  TargetId id = 0;
+  FlowToken token = 0;
+  std::string pool;
+  Endpoint address;
+  std::string zone;
+  std::uint32_t slots = 1;
+  TargetPhase phase = TargetPhase::kReady;
+  /// Rises with each announcement of the target.
+  std::uint64_t sequence = 0;
+  /// How long the target stays slow, from its announcement on.
+  std::uint32_t warm_up_ms = 0;
+
+  friend bool operator==(const RegisteredTarget&, const RegisteredTarget&) = default;
+
+  template <class Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    archive& id& token& pool& address& zone& slots& phase& sequence& warm_up_ms;
+  }
+};
+
+/// Everything that steering depends on. Frontends are ordered by address, targets by id.
+struct SteeringState {
+  SteeringSettings settings;
+  std::vector<RegisteredTarget> targets;
+
+  friend bool operator==(const SteeringState&, const SteeringState&) = default;
+
+  template <class Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    archive& settings& targets;
+  }
+};
+
+/// What changed between two revisions of the steering state.
+struct SteeringDelta {
+  /// Set when the settings changed; the fields up to `removed_frontends` are then valid.
+  bool has_settings = false;
+  OperatorVersion version = 0;
+  std::uint32_t idle_timeout_ms = 0;
+  std::vector<Pool> pools;
+  std::vector<Frontend> upserted_frontends;
+  std::vector<Endpoint> removed_frontends;
+  std::vector<RegisteredTarget> upserted_targets;
+  std::vector<TargetId> forgotten_targets;
+
+  template <class Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    archive& has_settings& version& idle_timeout_ms& pools& upserted_frontends& removed_frontends&
+        upserted_targets& forgotten_targets;
+  }
+};
+
+}  // namespace gorsevalve
--- a/src/programs/program.cc
+++ b/src/programs/program.cc
@@ -1,19 +1,65 @@
 #include "programs/program.h"
 
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <cerrno>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <memory>
 #include <utility>
 
 namespace gorsevalve {
 namespace {
 
-constexpr Duration kSignalPoll = std::chrono::milliseconds(20);
+/// Write end of the pipe through which the handler wakes the loop.
+volatile std::sig_atomic_t signal_pipe = -1;
+
+void on_signal(int signal) {
+  const int saved = errno;
+  const char octet = static_cast<char>(signal);
+  const ssize_t written = ::write(signal_pipe, &octet, 1);
+  static_cast<void>(written);
+  errno = saved;
+}
 
-/// Signals received, set by the handler and read by the loop.
-volatile std::sig_atomic_t signals_received = 0;
+/// Reads signals from the pipe on the loop and acts on them.
+class SignalReader {
+ public:
+  SignalReader(EventLoop& loop, int descriptor, SignalActions actions)
+      : loop_(loop),
+        descriptor_(descriptor),
+        actions_(std::move(actions)),
+        socket_(h2o_evloop_socket_create(loop.raw(), descriptor, H2O_SOCKET_FLAG_DONT_READ)) {
+    socket_->data = this;
+    h2o_socket_read_start(socket_, [](h2o_socket_t* socket, const char* /*error*/) {
+      static_cast<SignalReader*>(socket->data)->on_readable();
+    });
+  }
+
+ private:
+  void on_readable() {
+    char signal = 0;
+    while (::read(descriptor_, &signal, 1) == 1) {
+      if (signal == SIGHUP) {
+        if (actions_.on_reload) {
+          actions_.on_reload();
+        }
+      } else if (std::exchange(terminating_, true)) {
+        loop_.stop();
+      } else {
+        actions_.on_terminate();
+      }
+    }
+  }
 
-void on_signal(int /*signal*/) { signals_received = signals_received + 1; }
+  EventLoop& loop_;
+  int descriptor_;
+  SignalActions actions_;
+  h2o_socket_t* socket_;
+  bool terminating_ = false;
+};
 
 }  // namespace
 
@@ -48,19 +94,23 @@
   return value;
 }
 
-void handle_signals(EventLoop& loop, std::function<void()> on_terminate) {
+void handle_signals(EventLoop& loop, SignalActions actions) {
+  int ends[2] = {-1, -1};
+  if (::pipe2(ends, O_NONBLOCK | O_CLOEXEC) != 0) {
+    std::exit(fail("no pipe for signals", kExitFailure));
+  }
+  signal_pipe = ends[1];
+  // Lives as long as the process, like the handlers.
+  static std::unique_ptr<SignalReader> reader;
+  reader = std::make_unique<SignalReader>(loop, ends[0], std::move(actions));
   std::signal(SIGTERM, on_signal);
   std::signal(SIGINT, on_signal);
+  std::signal(SIGHUP, on_signal);
   std::signal(SIGPIPE, SIG_IGN);
-  auto handled = std::make_shared<int>(0);
-  loop.every(kSignalPoll, [&loop, handled, action = std::move(on_terminate)] {
-    if (*handled == 0 && signals_received > 0) {
-      *handled = 1;
-      action();
-    } else if (*handled == 1 && signals_received > 1) {
-      loop.stop();
-    }
-  });
+}
+
+void handle_signals(EventLoop& loop, std::function<void()> on_terminate) {
+  handle_signals(loop, SignalActions{std::move(on_terminate), {}});
 }
 
 }  // namespace gorsevalve
--- a/src/programs/program.h
+++ b/src/programs/program.h
@@ -33,6 +33,17 @@
 /// Ends the program with kExitUsage when the value is empty.
 std::string require_value(const std::string& flag, const std::string& value);
 
+/// What a program does on signals.
+struct SignalActions {
+  /// First SIGTERM or SIGINT; the second one ends the loop.
+  std::function<void()> on_terminate;
+  /// SIGHUP; may be empty.
+  std::function<void()> on_reload;
+};
+
+/// Runs actions on the loop when signals come. To be called once in a process.
+void handle_signals(EventLoop& loop, SignalActions actions);
+
 /// Runs `on_terminate` on the loop at the first SIGTERM or SIGINT, and ends the loop at the second.
 void handle_signals(EventLoop& loop, std::function<void()> on_terminate);
 
--- a/src/storage/log_store.cc
+++ b/src/storage/log_store.cc
@@ -216,20 +216,37 @@
   return {};
 }
 
+StorageResult<void> LogStore::repair() {
+  if (!needs_repair_) {
+    return {};
+  }
+  auto cut = disk_.truncate(segment_name(segment_), segment_size_);
+  needs_repair_ = !cut;
+  return cut;
+}
+
 StorageResult<void> LogStore::append(const LogFrame& frame) {
+  auto repaired = repair();
+  if (!repaired) {
+    return repaired;
+  }
   if (segment_size_ >= kSegmentSize) {
     ++segment_;
     segment_size_ = 0;
   }
   const Bytes bytes = encode_frame(encode_archive(frame));
   const std::string name = segment_name(segment_);
-  auto appended = disk_.append(name, bytes);
-  if (!appended) {
-    return appended;
+  auto written = disk_.append(name, bytes);
+  if (written) {
+    written = disk_.sync(name);
+  }
+  if (!written) {
+    needs_repair_ = true;
+    return written;
   }
   segment_size_ += bytes.size();
   log_size_ += bytes.size();
-  return disk_.sync(name);
+  return {};
 }
 
 StorageResult<void> LogStore::replace_with_snapshot(const Snapshot& snapshot,
@@ -238,6 +255,10 @@
   // of the old segments, the oldest first. A crash between two steps leaves a readable log: entries
   // that the snapshot covers are skipped, and the frame repeats entries with a truncation before
   // them.
+  auto repaired = repair();
+  if (!repaired) {
+    return repaired;
+  }
   auto written = disk_.replace(kSnapshotName, encode_frame(encode_archive(snapshot)));
   if (!written) {
     return written;
--- a/src/storage/log_store.h
+++ b/src/storage/log_store.h
@@ -69,7 +69,8 @@
   /// Reads everything, cuts a torn end, and gets ready to append.
   [[nodiscard]] StorageResult<StoredReplica> open();
 
-  /// Appends one frame and syncs it. After an error the store must not be used again.
+  /// Appends one frame and syncs it. After an error nothing of the frame counts: the next append
+  /// first cuts the segment back to what was synced, and fails when it cannot.
   [[nodiscard]] StorageResult<void> append(const LogFrame& frame);
 
   /// Makes a snapshot durable, then drops the segments; `frame` holds the hard state and the
@@ -82,12 +83,15 @@
 
  private:
   StorageResult<std::vector<std::uint64_t>> segments();
+  StorageResult<void> repair();
   StorageResult<void> read_segment(std::uint64_t number, bool is_last, StoredReplica& stored);
 
   Disk& disk_;
   std::uint64_t segment_ = 0;
   std::uint64_t segment_size_ = 0;
   std::uint64_t log_size_ = 0;
+  /// A write failed: the end of the segment is unknown.
+  bool needs_repair_ = false;
 };
 
 /// Wraps a body into a frame.
--- a/src/storage/posix_disk.cc
+++ b/src/storage/posix_disk.cc
@@ -164,6 +164,9 @@
 
 StorageResult<void> PosixDisk::truncate(const std::string& name, std::uint64_t size) {
   if (::truncate(path(name).c_str(), static_cast<off_t>(size)) != 0) {
+    if (errno == ENOENT && size == 0) {
+      return {};
+    }
     return failure("truncate", path(name));
   }
   return sync(name);
--- a/src/tasks/control_task.cc
+++ b/src/tasks/control_task.cc
@@ -88,7 +88,8 @@
   if (!listening) {
     return tl::unexpected(listening.error());
   }
-  loop.every(Replica::kTickInterval, [&self] { self.on_tick(); });
+  self.node_->set_registration_timing(self.config_.registrations);
+  loop.every(self.config_.tick_interval, [&self] { self.on_tick(); });
   return task;
 }
 
@@ -115,6 +116,7 @@
     });
   }
   answer_waiting(now);
+  answer_proposals(now);
   return opened->sender;
 }
 
@@ -122,6 +124,7 @@
   const Instant now = monotonic_now();
   node_->on_tick(now);
   answer_waiting(now);
+  answer_proposals(now);
   if (node_->replica().has_failed()) {
     log_event(LogLevel::kError, "storage_failed_stopping");
     loop_.stop();
@@ -164,20 +167,141 @@
   return node_->outcome(id, monotonic_now());
 }
 
+SteeringReply ControlTask::not_leader() const {
+  return {SteeringStatus::kNotLeader, node_->other_leader(monotonic_now())};
+}
+
+void ControlTask::submit_steering(SteeringCommand command, SteeringCallback callback) {
+  const Instant now = monotonic_now();
+  if (stopping_ || !node_->replica().has_lease(now)) {
+    callback(not_leader());
+    return;
+  }
+  const OperatorVersion version = command.settings.version;
+  const OperatorVersion held = node_->state().fleet().steering.settings.version;
+  log_event(LogLevel::kInfo, "steering_submitted", {{"version", version}, {"held_version", held}});
+  if (version <= held) {
+    callback({SteeringStatus::kAcknowledged, std::nullopt});
+    return;
+  }
+  std::vector<SteeringCallback> callbacks;
+  callbacks.push_back(std::move(callback));
+  wait_for(node_->propose(command, now), std::move(callbacks));
+}
+
+void ControlTask::announce(RegisteredTarget announced, SteeringCallback callback) {
+  const AnnouncementStatus status =
+      stopping_ ? AnnouncementStatus::kNotLeader : node_->hear(announced, monotonic_now());
+  if (status == AnnouncementStatus::kNotLeader) {
+    callback(not_leader());
+  } else if (status == AnnouncementStatus::kHeld) {
+    callback({SteeringStatus::kAcknowledged, std::nullopt});
+  } else {
+    registrations_.announced.push_back(std::move(announced));
+    queue_registration(std::move(callback));
+  }
+}
+
+void ControlTask::end_target(TargetId id, SteeringCallback callback) {
+  const AnnouncementStatus status =
+      stopping_ ? AnnouncementStatus::kNotLeader : node_->hear_end(id, monotonic_now());
+  if (status == AnnouncementStatus::kNotLeader) {
+    callback(not_leader());
+  } else if (status == AnnouncementStatus::kHeld) {
+    callback({SteeringStatus::kAcknowledged, std::nullopt});
+  } else {
+    registrations_.ended.push_back(id);
+    queue_registration(std::move(callback));
+  }
+}
+
+void ControlTask::queue_registration(SteeringCallback callback) {
+  registration_callbacks_.push_back(std::move(callback));
+  if (registration_callbacks_.size() == 1) {
+    loop_.post([this] { propose_registrations(); });
+  }
+}
+
+void ControlTask::propose_registrations() {
+  const RegistrationCommand command = std::exchange(registrations_, {});
+  for (const auto& target : command.announced) {
+    log_event(LogLevel::kInfo, "target_announced",
+              {{"target", target.id},
+               {"pool", target.pool},
+               {"phase", static_cast<int>(target.phase)},
+               {"sequence", target.sequence}});
+  }
+  for (const TargetId id : command.ended) {
+    log_event(LogLevel::kInfo, "target_ended", {{"target", id}});
+  }
+  wait_for(node_->propose(command, monotonic_now()), std::exchange(registration_callbacks_, {}));
+}
+
+void ControlTask::wait_for(const std::optional<Proposal>& proposal,
+                           std::vector<SteeringCallback> callbacks) {
+  const Instant now = monotonic_now();
+  if (!proposal) {
+    for (const auto& callback : callbacks) {
+      callback(not_leader());
+    }
+    return;
+  }
+  proposals_.push_back({*proposal, std::move(callbacks), now + config_.steering_timeout});
+  answer_proposals(now);
+}
+
+void ControlTask::answer_proposals(Instant now) {
+  std::vector<WaitingProposal> still_waiting;
+  for (auto& waiting : std::exchange(proposals_, {})) {
+    const ProposalStatus status = node_->status(waiting.proposal);
+    if (status == ProposalStatus::kPending && now < waiting.deadline) {
+      still_waiting.push_back(std::move(waiting));
+      continue;
+    }
+    const bool committed = status == ProposalStatus::kCommitted;
+    for (const auto& callback : waiting.callbacks) {
+      callback({committed ? SteeringStatus::kAcknowledged : SteeringStatus::kUnknown, {}});
+    }
+  }
+  proposals_ = std::move(still_waiting);
+}
+
+tl::expected<std::string, SteeringReply> ControlTask::read_steering() const {
+  if (stopping_ || !node_->replica().has_lease(monotonic_now())) {
+    return tl::unexpected(not_leader());
+  }
+  return node_->state().steering_text();
+}
+
+void ControlTask::prepare_stop() {
+  stopping_ = true;
+  node_->prepare_stop(monotonic_now());
+  log_event(LogLevel::kInfo, "stopping");
+}
+
 void ControlTask::send(const Endpoint& to, const ReplicaMessage& message) {
   network_.send(to, envelope_.seal(message), true);
 }
 
 void ControlTask::send_node(const Endpoint& to, const NodeMessage& message) {
+  const auto& replicas = node_->replica().replicas().replicas;
   const bool is_replica =
-      std::find(config_.replicas.begin(), config_.replicas.end(), to) != config_.replicas.end();
+      std::find(config_.replicas.begin(), config_.replicas.end(), to) != config_.replicas.end() ||
+      std::any_of(replicas.begin(), replicas.end(),
+                  [&](const ReplicaInfo& replica) { return replica.address == to; });
   network_.send(to, envelope_.seal(message), is_replica);
 }
 
 bool ControlTask::check(const StorageResult<void>& result) {
   if (!result) {
-    log_event(LogLevel::kError, "storage_failed", {{"error", result.error().message}});
+    storage_damaged_ = result.error().kind != StorageErrorKind::kOperation;
+    if (!storage_refuses_) {
+      log_event(LogLevel::kError, "storage_refuses", {{"error", result.error().message}});
+    }
+  } else if (storage_refuses_) {
+    log_event(LogLevel::kInfo, "storage_accepts_again");
   }
+  storage_refuses_ = !result;
   return result.has_value();
 }
 
--- a/src/tasks/control_task.h
+++ b/src/tasks/control_task.h
@@ -25,6 +25,25 @@
   std::string cluster;
   ClusterKeys keys;
   std::uint64_t incarnation = 0;
+  Duration tick_interval = Replica::kTickInterval;
+  /// How long a steering command waits to be decided.
+  Duration steering_timeout = std::chrono::milliseconds(900);
+  RegistrationTiming registrations;
+};
+
+/// Answer to a steering command or an announcement.
+enum class SteeringStatus : std::uint8_t {
+  /// Committed, or the committed state says the same already.
+  kAcknowledged = 0,
+  /// Nothing was done here; `leader` names whom to ask, if it is known.
+  kNotLeader = 1,
+  /// Whether it is in force may go either way.
+  kUnknown = 2,
+};
+
+struct SteeringReply {
+  SteeringStatus status = SteeringStatus::kNotLeader;
+  std::optional<Endpoint> leader;
 };
 
 /// Replicas that found a cluster: their identities follow from the cluster's name and their
@@ -34,6 +53,7 @@
 class ControlTask : private ControlOutput, private ReplicaStorage {
  public:
   using SubmissionCallback = std::function<void(const SubmissionResult&)>;
+  using SteeringCallback = std::function<void(const SteeringReply&)>;
 
   /// Writes the identity of a founding replica into an empty data folder.
   static StorageResult<void> initialize(Disk& disk, const ControlTaskConfig& config);
@@ -47,6 +67,19 @@
   /// Submits settings; calls back when they are decided, or with kPending after kDecisionTimeout.
   void submit(SettingsCommand command, SubmissionCallback callback);
   [[nodiscard]] SubmissionResult outcome(const SubmissionId& id) const;
+
+  /// Submits a whole steering file; the highest version holds.
+  void submit_steering(SteeringCommand command, SteeringCallback callback);
+  /// A target announced itself.
+  void announce(RegisteredTarget announced, SteeringCallback callback);
+  /// A target said that it has ended.
+  void end_target(TargetId id, SteeringCallback callback);
+  /// The newest steering file, when this replica can prove that it is the newest; else who can.
+  [[nodiscard]] tl::expected<std::string, SteeringReply> read_steering() const;
+  /// Other replicas to ask for admission.
+  void set_seeds(const std::vector<Endpoint>& seeds) { node_->set_seeds(seeds); }
+  /// Hands leadership over before a planned stop, and refuses everything from now on.
+  void prepare_stop();
   [[nodiscard]] const ControlNode& node() const { return *node_; }
   [[nodiscard]] std::uint64_t messages_refused() const { return messages_refused_; }
 
@@ -59,17 +92,30 @@
     Instant deadline;
   };
 
+  /// A command in the log that is not decided yet.
+  struct WaitingProposal {
+    Proposal proposal;
+    std::vector<SteeringCallback> callbacks;
+    Instant deadline;
+  };
+
   ControlTask(EventLoop& loop, ControlTaskConfig config, Disk& disk);
 
   std::optional<Endpoint> on_frame(ByteView frame);
   void on_tick();
   void answer_waiting(Instant now);
+  void answer_proposals(Instant now);
+  [[nodiscard]] SteeringReply not_leader() const;
+  void wait_for(const std::optional<Proposal>& proposal, std::vector<SteeringCallback> callbacks);
+  void queue_registration(SteeringCallback callback);
+  void propose_registrations();
 
   void send(const Endpoint& to, const ReplicaMessage& message) override;
   void send_node(const Endpoint& to, const NodeMessage& message) override;
   [[nodiscard]] bool append(const LogFrame& frame) override;
   [[nodiscard]] bool replace_with_snapshot(const Snapshot& snapshot,
                                            const LogFrame& frame) override;
+  [[nodiscard]] bool can_try_again() const override { return !storage_damaged_; }
   bool check(const StorageResult<void>& result);
 
   EventLoop& loop_;
@@ -79,6 +125,13 @@
   FrameNetwork network_;
   std::unique_ptr<ControlNode> node_;
   std::vector<Waiting> waiting_;
+  std::vector<WaitingProposal> proposals_;
+  /// Registrations of this turn of the loop: they go into one entry.
+  RegistrationCommand registrations_;
+  std::vector<SteeringCallback> registration_callbacks_;
+  bool storage_damaged_ = false;
+  bool storage_refuses_ = false;
+  bool stopping_ = false;
   std::uint64_t messages_refused_ = 0;
   bool was_leader_ = false;
 };
--- a/src/tasks/frame_network.cc
+++ b/src/tasks/frame_network.cc
@@ -1,6 +1,7 @@
 #include "tasks/frame_network.h"
 
 #include <arpa/inet.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -18,6 +19,18 @@
 constexpr std::size_t kLengthSize = 4;
 /// Octets that may wait on one connection.
 constexpr std::size_t kMaxWaiting = 2 * kMaxEnvelopeSize;
+/// A connection over which frames went for this long without anything coming back is given up: a
+/// peer behind a cut, or without power, says nothing.
+constexpr Duration kSilentAfter = std::chrono::milliseconds(1500);
+/// How long the kernel keeps sending to a peer that acknowledges nothing.
+constexpr unsigned kUserTimeoutMs = 2000;
+
+void set_user_timeout(h2o_socket_t* socket) {
+  const int descriptor = h2o_socket_get_fd(socket);
+  const int on = 1;
+  ::setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUserTimeoutMs, sizeof(kUserTimeoutMs));
+  ::setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+}
 
 Bytes with_length(const Bytes& frame) {
   const std::uint32_t length = htonl(static_cast<std::uint32_t>(frame.size()));
@@ -37,6 +50,8 @@
   std::deque<Bytes> waiting;
   std::size_t waiting_size = 0;
   bool writing = false;
+  /// When the first frame went that nothing came back after.
+  std::optional<Instant> unanswered_since;
 };
 
 FrameNetwork::FrameNetwork(EventLoop& loop, Receiver receiver)
@@ -88,6 +103,7 @@
   connection->network = this;
   connection->socket = socket;
   socket->data = connection.get();
+  set_user_timeout(socket);
   connections_.push_back(std::move(connection));
   return connections_.back().get();
 }
@@ -141,6 +157,7 @@
     }
     const Bytes frame(bytes + kLengthSize, bytes + kLengthSize + length);
     h2o_buffer_consume(&connection.socket->input, kLengthSize + length);
+    connection.unanswered_since.reset();
     const std::optional<Endpoint> sender = receiver_(frame);
     if (!sender) {
       return false;
@@ -154,15 +171,17 @@
 }
 
 void FrameNetwork::send(const Endpoint& to, const Bytes& frame, bool may_dial) {
-  auto found = by_peer_.find(to);
-  if (found == by_peer_.end() && may_dial) {
+  const Instant now = monotonic_now();
+  Connection* found = find_live(to, now);
+  if (found == nullptr && may_dial) {
     dial(to);
-    found = by_peer_.find(to);
+    found = find_live(to, now);
   }
-  if (found == by_peer_.end()) {
+  if (found == nullptr) {
     return;
   }
-  Connection& connection = *found->second;
+  Connection& connection = *found;
+  connection.unanswered_since = connection.unanswered_since.value_or(now);
   if (connection.waiting_size + frame.size() > kMaxWaiting) {
     return;
   }
@@ -171,6 +190,26 @@
   write_next(connection);
 }
 
+FrameNetwork::Connection* FrameNetwork::find_live(const Endpoint& to, Instant now) {
+  const auto found = by_peer_.find(to);
+  if (found == by_peer_.end()) {
+    return nullptr;
+  }
+  Connection& connection = *found->second;
+  if (connection.unanswered_since && now - *connection.unanswered_since > kSilentAfter) {
+    close(connection);
+    return nullptr;
+  }
+  return &connection;
+}
+
+void FrameNetwork::drop(const Endpoint& peer) {
+  const auto found = by_peer_.find(peer);
+  if (found != by_peer_.end()) {
+    close(*found->second);
+  }
+}
+
 void FrameNetwork::write_next(Connection& connection) {
   if (!connection.connected || connection.writing || connection.waiting.empty()) {
     return;
--- a/src/tasks/frame_network.h
+++ b/src/tasks/frame_network.h
@@ -35,6 +35,9 @@
   /// dropped. A frame is dropped too when too much waits on the connection.
   void send(const Endpoint& to, const Bytes& frame, bool may_dial);
 
+  /// Closes the connection to a peer, if there is one.
+  void drop(const Endpoint& peer);
+
  private:
   struct Connection;
 
@@ -45,6 +48,8 @@
   void on_read(Connection& connection, const char* error);
   void write_next(Connection& connection);
   void close(Connection& connection);
+  /// The connection to a peer; one that has been silent for too long is closed first.
+  Connection* find_live(const Endpoint& to, Instant now);
   [[nodiscard]] bool take_frames(Connection& connection);
 
   EventLoop& loop_;
--- a/src/tasks/http_server.cc
+++ b/src/tasks/http_server.cc
@@ -129,6 +129,12 @@
       h2o_strdup(&request->pool, response.content_type.data(), response.content_type.size());
   h2o_add_header(&request->pool, &request->res.headers, H2O_TOKEN_CONTENT_TYPE, nullptr, type.base,
                  type.len);
+  if (!response.location.empty()) {
+    h2o_iovec_t location =
+        h2o_strdup(&request->pool, response.location.data(), response.location.size());
+    h2o_add_header(&request->pool, &request->res.headers, H2O_TOKEN_LOCATION, nullptr,
+                   location.base, location.len);
+  }
   h2o_iovec_t body = h2o_strdup(&request->pool, response.body.data(), response.body.size());
   request->res.content_length = body.len;
   h2o_start_response(request, &generator);
--- a/src/tasks/http_server.h
+++ b/src/tasks/http_server.h
@@ -27,6 +27,8 @@
   int status = 200;
   std::string content_type = "application/json";
   std::string body;
+  /// Location header; not sent when empty.
+  std::string location{};
 };
 
 class HttpServer {
--- /dev/null
+++ b/src/tasks/steering_task.cc
@@ -0,0 +1,143 @@
+#include "tasks/steering_task.h"
+
+#include <algorithm>
+#include <array>
+
+#include "tasks/log.h"
+
+namespace gorsevalve {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Duration kTickInterval = milliseconds(250);
+constexpr ControlClientTiming kControlTiming{milliseconds(500), milliseconds(800)};
+/// Routers need this long to turn away; after it a stop waits for silence only.
+constexpr Duration kTurnAwayTime = milliseconds(1500);
+constexpr Duration kSilenceBeforeStop = milliseconds(700);
+
+}  // namespace
+
+tl::expected<std::unique_ptr<SteeringTask>, std::string> SteeringTask::open(
+    EventLoop& loop, SteeringTaskConfig config, const PacketFormat& format) {
+  auto socket = UdpSocket::open(loop, config.datagrams);
+  if (!socket) {
+    return tl::unexpected(socket.error());
+  }
+  std::unique_ptr<SteeringTask> task(new SteeringTask(loop, std::move(config), format));
+  SteeringTask& self = *task;
+  self.socket_ = std::move(*socket);
+  self.socket_->start(
+      [&self](ByteView datagram, const Endpoint& /*from*/) { self.on_datagram(datagram); });
+  loop.post([&self] { self.on_tick(); });
+  loop.every(kTickInterval, [&self] { self.on_tick(); });
+  return task;
+}
+
+SteeringTask::SteeringTask(EventLoop& loop, SteeringTaskConfig config, const PacketFormat& format)
+    : loop_(loop),
+      config_(std::move(config)),
+      format_(format),
+      envelope_(config_.cluster, config_.keys, config_.self.address, config_.self.incarnation),
+      steering_(config_.self.incarnation),
+      control_(config_.self, config_.control, {}, *this),
+      network_(loop, [this](ByteView frame) { return on_frame(frame); }) {
+  control_.set_timing(kControlTiming);
+}
+
+bool SteeringTask::is_ready() const {
+  return !stop_since_ && steering_.has_settings() && control_.has_been_current();
+}
+
+void SteeringTask::begin_stop() {
+  stop_since_ = monotonic_now();
+  last_packet_ = *stop_since_;
+  log_event(LogLevel::kInfo, "stopping", {{"flows", steering_.flows()}});
+}
+
+void SteeringTask::on_datagram(ByteView datagram) {
+  const auto packet = format_.parse(datagram);
+  if (!packet) {
+    ++counters_.malformed;
+    return;
+  }
+  const Instant now = monotonic_now();
+  last_packet_ = now;
+  const SteeringDecision decision = steering_.on_packet(*packet, now);
+  ++counters_.packets[static_cast<std::size_t>(decision.reason)];
+  log_decision(*packet, decision);
+  if (decision.action == SteeringAction::kForward) {
+    std::array<std::uint8_t, kMaxDatagram> copy{};
+    std::copy(datagram.begin(), datagram.end(), copy.begin());
+    const std::span<std::uint8_t> forwarded(copy.data(), datagram.size());
+    std::array<std::uint8_t, kMaxSteeringPrefix> prefix{};
+    const std::size_t size = format_.prepare_forward(forwarded, *decision.target, prefix);
+    socket_->send(decision.target->address, ByteView(prefix.data(), size), forwarded);
+  } else if (decision.action == SteeringAction::kReset) {
+    ++counters_.resets;
+    socket_->send(format_.reset_destination(*packet), format_.make_reset(*packet));
+  }
+}
+
+void SteeringTask::log_decision(const CallerPacket& packet,
+                                const SteeringDecision& decision) const {
+  if (decision.reason == SteeringReason::kToken) {
+    return;
+  }
+  log_event(LogLevel::kInfo, "flow_decision",
+            {{"flow", to_string(packet.flow.caller) + ">" + to_string(packet.flow.frontend)},
+             {"reason", to_string(decision.reason)},
+             {"copies_before", packet.copies_before},
+             {"target", decision.target == nullptr ? 0 : decision.target->id},
+             {"token", packet.token},
+             {"revision", control_.fleet().revision}});
+}
+
+std::optional<Endpoint> SteeringTask::on_frame(ByteView frame) {
+  const auto opened = envelope_.open(frame);
+  if (!opened || opened->kind != MessageKind::kNode) {
+    ++counters_.messages_refused;
+    return std::nullopt;
+  }
+  control_.on_message(opened->sender, std::get<NodeMessage>(opened->message), monotonic_now());
+  return opened->sender;
+}
+
+void SteeringTask::on_tick() {
+  const Instant now = monotonic_now();
+  control_.on_tick(0, now);
+  steering_.on_tick(now);
+  if (is_ready() != was_ready_) {
+    was_ready_ = !was_ready_;
+    log_event(LogLevel::kInfo, was_ready_ ? "ready" : "not_ready",
+              {{"revision", control_.fleet().revision}});
+  }
+  if (!stop_since_) {
+    return;
+  }
+  const bool turned_away = now - *stop_since_ > kTurnAwayTime;
+  const bool silent = now - last_packet_ > kSilenceBeforeStop;
+  if ((turned_away && silent) || now - *stop_since_ > config_.stop_time) {
+    log_event(LogLevel::kInfo, "stopped");
+    loop_.stop();
+  }
+}
+
+void SteeringTask::send_control(const Endpoint& replica, const NodeMessage& message) {
+  network_.send(replica, envelope_.seal(message), true);
+}
+
+void SteeringTask::on_replica_silent(const Endpoint& replica) {
+  log_event(LogLevel::kWarning, "replica_silent", {{"replica", to_string(replica)}});
+  network_.drop(replica);
+}
+
+void SteeringTask::on_fleet(const FleetState& fleet, Instant now) {
+  steering_.adopt(fleet.steering, now);
+  log_event(LogLevel::kInfo, "revision_in_force",
+            {{"revision", fleet.revision},
+             {"operator_version", fleet.steering.settings.version},
+             {"targets", fleet.steering.targets.size()}});
+}
+
+}  // namespace gorsevalve
--- /dev/null
+++ b/src/tasks/steering_task.h
@@ -0,0 +1,105 @@
+/// The task of a balancer that steers by reflected tokens: owns the datagram socket, the session
+/// with the control replicas, and the steering core. What datagrams look like is the business of
+/// the packet format that is given to it.
+#pragma once
+
+#include <array>
+#include <memory>
+#include <optional>
+#include <string>
+#include <tl/expected.hpp>
+#include <vector>
+
+#include "codec/envelope.h"
+#include "core/balancer/control_client.h"
+#include "core/steering/flow_steering.h"
+#include "tasks/event_loop.h"
+#include "tasks/frame_network.h"
+#include "tasks/udp_socket.h"
+
+namespace gorsevalve {
+
+/// Largest part that a format puts before a forwarded packet, in octets.
+constexpr std::size_t kMaxSteeringPrefix = 64;
+
+/// How packets of callers and of targets look on the wire.
+class PacketFormat {
+ public:
+  virtual ~PacketFormat() = default;
+  /// What steering needs of a datagram from a caller; nothing when it is malformed.
+  [[nodiscard]] virtual std::optional<CallerPacket> parse(ByteView datagram) const = 0;
+  /// Writes the target's token into the datagram, and what goes before it into `prefix`; gives the
+  /// size of the prefix.
+  virtual std::size_t prepare_forward(std::span<std::uint8_t> datagram,
+                                      const RegisteredTarget& target,
+                                      std::span<std::uint8_t, kMaxSteeringPrefix> prefix) const = 0;
+  /// A reset that answers a packet, and where it goes.
+  [[nodiscard]] virtual Bytes make_reset(const CallerPacket& packet) const = 0;
+  [[nodiscard]] virtual Endpoint reset_destination(const CallerPacket& packet) const = 0;
+};
+
+struct SteeringTaskConfig {
+  /// `member.address` names this process to the control replicas.
+  Member self;
+  Endpoint datagrams;
+  std::vector<Endpoint> control;
+  std::string cluster;
+  ClusterKeys keys;
+  /// How long a planned stop may take.
+  Duration stop_time = std::chrono::milliseconds(5000);
+};
+
+/// Counters since the start, by the reason of each decision.
+struct SteeringCounters {
+  std::uint64_t malformed = 0;
+  std::array<std::uint64_t, kSteeringReasons> packets{};
+  std::uint64_t resets = 0;
+  std::uint64_t messages_refused = 0;
+};
+
+class SteeringTask : private ControlClientOutput {
+ public:
+  /// `format` must outlive the task.
+  static tl::expected<std::unique_ptr<SteeringTask>, std::string> open(EventLoop& loop,
+                                                                       SteeringTaskConfig config,
+                                                                       const PacketFormat& format);
+
+  /// True while routers may send packets here: settings are in force, a replica that holds the
+  /// newest state confirmed them, and no stop is under way.
+  [[nodiscard]] bool is_ready() const;
+  /// Begins a planned stop: not ready any more, forwards until packets cease, then ends the loop.
+  void begin_stop();
+  void set_control_seeds(const std::vector<Endpoint>& seeds) { control_.set_seeds(seeds); }
+  [[nodiscard]] const SteeringCounters& counters() const { return counters_; }
+  [[nodiscard]] const FlowSteering& steering() const { return steering_; }
+  [[nodiscard]] const FleetState& fleet() const { return control_.fleet(); }
+
+ private:
+  SteeringTask(EventLoop& loop, SteeringTaskConfig config, const PacketFormat& format);
+
+  void on_datagram(ByteView datagram);
+  std::optional<Endpoint> on_frame(ByteView frame);
+  void on_tick();
+  void log_decision(const CallerPacket& packet, const SteeringDecision& decision) const;
+
+  void send_control(const Endpoint& replica, const NodeMessage& message) override;
+  void on_fleet(const FleetState& fleet, Instant now) override;
+  void on_lease(Instant /*until*/) override {}
+  void on_expelled(Instant /*now*/) override {}
+  void on_replica_silent(const Endpoint& replica) override;
+
+  EventLoop& loop_;
+  SteeringTaskConfig config_;
+  const PacketFormat& format_;
+  Envelope envelope_;
+  FlowSteering steering_;
+  ControlClient control_;
+  FrameNetwork network_;
+  std::unique_ptr<UdpSocket> socket_;
+  SteeringCounters counters_;
+  Instant last_packet_;
+  std::optional<Instant> stop_since_;
+  bool was_ready_ = false;
+};
+
+}  // namespace gorsevalve
