Let a learner answer the first part of a long log; log replica sets and lost leaders

Cause: a replica whose disk was wiped was taken in as a learner and never got a vote again. Its first AppendRequest is cut at 256 KiB; when the replica set stands later in the log, the learner did not know its leader's address and answered nobody, so the leader sent the same part for ever.

Ruled out: elections under the old identity (the new one is in the logs), a slow catch-up (the learner heard its leader from 32.48 s on and never answered).

New log lines: replica_set, leader_heard, leader_silent. The new test fails before (0 replies, 1 expected), passes after.

--- a/src/core/control/replica_log.cc
+++ b/src/core/control/replica_log.cc
@@ -45,10 +45,11 @@
   Progress& progress = progress_[replica.id];
   progress.last_sent = now;
   if (progress.next_index <= snapshot_index()) {
-    send(replica.address, hard_state_.term, {0, 0, SnapshotRequest{*snapshot_, to_us(now)}});
+    send(replica.address, hard_state_.term, {0, 0, SnapshotRequest{config_.address, *snapshot_, to_us(now)}});
     return;
   }
   AppendRequest request;
+  request.leader = config_.address;
   request.previous_index = progress.next_index - 1;
   request.previous_term = term_at(request.previous_index);
   request.commit_index = commit_index_;
@@ -164,8 +165,6 @@
 void Replica::handle(const ReplicaMessage& message, const AppendRequest& request, Instant now) {
   follow_leader(message, now);
   leader_commit_ = std::max(leader_commit_, request.commit_index);
-  // A learner that was just taken in may learn its leader's address from these very entries.
-  std::optional<Endpoint> leader_address = this->leader_address();
   AppendReply reply{false, 0, request.sent_at_us};
   const bool covered = request.previous_index < snapshot_index();
   if (!covered && request.previous_index > last_index()) {
@@ -181,12 +180,7 @@
     commit_index_ = std::max(commit_index_, std::min(request.commit_index, reply.index));
     apply_committed();
   }
-  if (!leader_address) {
-    leader_address = this->leader_address();
-  }
-  if (leader_address) {
-    send(*leader_address, hard_state_.term, {0, 0, reply});
-  }
+  send(request.leader, hard_state_.term, {0, 0, reply});
 }
 
 void Replica::handle(const ReplicaMessage& message, const AppendReply& reply, Instant now) {
@@ -236,10 +230,8 @@
     state_.restore(snapshot.state);
     find_replicas();
   }
-  if (const ReplicaInfo* leader = replicas_.find(message.from)) {
-    const AppendReply reply{true, snapshot.index, request.sent_at_us};
-    send(leader->address, hard_state_.term, {0, 0, reply});
-  }
+  const AppendReply reply{true, snapshot.index, request.sent_at_us};
+  send(request.leader, hard_state_.term, {0, 0, reply});
 }
 
 }  // namespace gorsevalve
--- a/src/core/control/replica_messages.h
+++ b/src/core/control/replica_messages.h
@@ -38,6 +38,8 @@
 };
 
 struct AppendRequest {
+  /// Where the reply goes: a learner may not know its leader's address yet.
+  Endpoint leader;
   LogIndex previous_index = 0;
   Term previous_term = 0;
   LogIndex commit_index = 0;
@@ -47,7 +49,7 @@
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive& previous_index& previous_term& commit_index& sent_at_us& entries;
+    archive& leader& previous_index& previous_term& commit_index& sent_at_us& entries;
   }
 };
 
@@ -64,12 +66,14 @@
 };
 
 struct SnapshotRequest {
+  /// Where the reply goes.
+  Endpoint leader;
   Snapshot snapshot;
   std::int64_t sent_at_us = 0;
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive& snapshot& sent_at_us;
+    archive& leader& snapshot& sent_at_us;
   }
 };
 
--- a/src/tasks/control_task.cc
+++ b/src/tasks/control_task.cc
@@ -129,10 +129,30 @@
     log_event(LogLevel::kError, "storage_failed_stopping");
     loop_.stop();
   }
-  if (node_->replica().is_leader() != was_leader_) {
+  log_changes(now);
+}
+
+void ControlTask::log_changes(Instant now) {
+  const Replica& replica = node_->replica();
+  if (replica.is_leader() != was_leader_) {
     was_leader_ = !was_leader_;
     log_event(LogLevel::kInfo, was_leader_ ? "became_leader" : "lost_leadership",
-              {{"term", node_->replica().term()}});
+              {{"term", replica.term()}});
+  }
+  const bool hears_leader = replica.is_leader() || replica.hears_leader(now);
+  if (hears_leader != heard_leader_) {
+    heard_leader_ = hears_leader;
+    log_event(hears_leader ? LogLevel::kInfo : LogLevel::kWarning,
+              hears_leader ? "leader_heard" : "leader_silent", {{"term", replica.term()}});
+  }
+  if (replica.replicas() != logged_replicas_) {
+    logged_replicas_ = replica.replicas();
+    nlohmann::json members = nlohmann::json::array();
+    for (const auto& member : logged_replicas_.replicas) {
+      members.push_back(to_string(member.address) + (member.voter ? " voter " : " learner ") +
+                        std::to_string(member.id));
+    }
+    log_event(LogLevel::kInfo, "replica_set", {{"replicas", members}});
   }
 }
 
--- a/src/tasks/control_task.h
+++ b/src/tasks/control_task.h
@@ -102,6 +102,7 @@
   ControlTask(EventLoop& loop, ControlTaskConfig config, Disk& disk);
 
   std::optional<Endpoint> on_frame(ByteView frame);
+  void log_changes(Instant now);
   void on_tick();
   void answer_waiting(Instant now);
   void answer_proposals(Instant now);
@@ -134,6 +135,8 @@
   bool stopping_ = false;
   std::uint64_t messages_refused_ = 0;
   bool was_leader_ = false;
+  bool heard_leader_ = false;
+  ReplicaSet logged_replicas_;
 };
 
 }  // namespace gorsevalve
--- a/tests/unit/test_replica.cc
+++ b/tests/unit/test_replica.cc
@@ -67,6 +67,23 @@
 }  // namespace
 
 TEST_SUITE("replica") {
+  TEST_CASE("a learner that knows no replica answers the first part of a long log") {
+    // Found on the platform (a wiped replica never got its vote back, then a second disk was lost):
+    // the first append held no replica set, so the learner did not know whom to answer.
+    TestReplica test;
+    StoredReplica nothing;
+    Replica learner(ReplicaConfig{9, {9, 7000}, {}, 7, {}}, {}, nothing, test.storage, test.output,
+                    test.state, kStart);
+    AppendRequest first;
+    first.leader = {1, 7000};
+    first.entries.push_back({1, 1, EntryType::kNone, {}});
+    learner.on_message({1, 1, first}, kStart);
+    REQUIRE(test.output.sent.size() == 1);
+    const auto* reply = std::get_if<AppendReply>(&test.output.sent[0].body);
+    REQUIRE(reply != nullptr);
+    CHECK(reply->accepted);
+    CHECK(reply->index == 1);
+  }
   TEST_CASE("a leader of an older term learns of the newer term") {
     // Found by simulation (leader_frozen, seed 57): a replica that had raised its term ignored the
     // leader, nobody voted for it while the leader lived, and it never caught up.
