Shorten elections on the platform; hold packets until a starting balancer has its state

Ruled out: serving from the uncommitted state of a follower (an accepted revision could revert); resets at once (callers have two retries and would burn them within the outage).

Change: the pace of elections is a setting of the replica (600/100 ms as before, 300/75 ms on the platform); HeldPackets keeps up to 1,024 packets for 1.2 s.

--- a/src/core/control/replica.cc
+++ b/src/core/control/replica.cc
@@ -103,7 +103,7 @@
 }
 
 bool Replica::hears_leader(Instant now) const {
-  return leader_ && now - leader_heard_at_ < control_timing::kElectionTimeout;
+  return leader_ && now - leader_heard_at_ < config_.timing.election_timeout;
 }
 
 void Replica::become_follower(Term term, Instant now) {
@@ -141,7 +141,7 @@
   // A vote request within the lease of a leader is not even looked at, so that a replica that was
   // cut off cannot depose a leader that works.
   const bool leader_lives =
-      is_leader() ? has_lease(now) : now - leader_heard_at_ < control_timing::kElectionTimeout;
+      is_leader() ? has_lease(now) : now - leader_heard_at_ < config_.timing.election_timeout;
   const bool looks_at_vote = !leader_lives || config_.faults.vote_while_leader_lives ||
                              (vote_request != nullptr && vote_request->leader_agrees);
   if (vote_request != nullptr && !looks_at_vote) {
@@ -201,7 +201,7 @@
     return false;
   }
   return config_.faults.ignore_leader_lease ||
-         now < majority_confirmed_at(now) + control_timing::kLeaderLease;
+         now < majority_confirmed_at(now) + config_.timing.lease();
 }
 
 std::optional<Endpoint> Replica::leader_address() const {
@@ -219,14 +219,14 @@
   if (is_leader()) {
     for (const auto& replica : std::vector<ReplicaInfo>(replicas_.replicas)) {
       if (replica.id != config_.id &&
-          now - progress_[replica.id].last_sent >= control_timing::kAppendInterval) {
+          now - progress_[replica.id].last_sent >= config_.timing.append_interval) {
         replicate_to(replica, now);
       }
     }
     change_replicas(now);
     // A leader that has heard of no majority for two election periods steps down, so that its
     // clients look for another one.
-    if (now - majority_confirmed_at(now) > 2 * control_timing::kElectionTimeout &&
+    if (now - majority_confirmed_at(now) > 2 * config_.timing.election_timeout &&
         commit_index_ >= leader_start_) {
       become_follower(hard_state_.term, now);
       leader_.reset();
--- a/src/core/control/replica.h
+++ b/src/core/control/replica.h
@@ -11,6 +11,7 @@
 
 #include "core/control/log_entry.h"
 #include "core/control/replica_messages.h"
+#include "core/control/timing.h"
 #include "model/time.h"
 #include "storage/log_store.h"
 
@@ -56,6 +57,19 @@
   bool keep_identity_on_empty_disk = false;
 };
 
+/// Pace of elections. A shorter election timeout shortens the time without a leader, and must stay
+/// well above what a round trip with two disk syncs takes.
+struct ReplicaTiming {
+  Duration election_timeout = control_timing::kElectionTimeout;
+  Duration append_interval = control_timing::kAppendInterval;
+
+  /// How long a leader may act after it sent something that a majority confirmed.
+  [[nodiscard]] Duration lease() const {
+    return Duration(static_cast<std::int64_t>(static_cast<double>(election_timeout.count()) *
+                                              (1 - control_timing::kClockDrift)));
+  }
+};
+
 struct ReplicaConfig {
   ReplicaId id = 0;
   Endpoint address;
@@ -63,6 +77,7 @@
   std::vector<Endpoint> seeds;
   std::uint64_t random_seed = 0;
   ReplicaFaults faults;
+  ReplicaTiming timing{};
 };
 
 enum class ReplicaRole : std::uint8_t { kFollower = 0, kCandidate = 1, kLeader = 2 };
--- a/src/core/control/replica_election.cc
+++ b/src/core/control/replica_election.cc
@@ -11,8 +11,8 @@
 }  // namespace
 
 void Replica::reset_election_timer(Instant now) {
-  std::uniform_int_distribution<std::int64_t> spread(0, control_timing::kElectionTimeout.count());
-  election_at_ = now + control_timing::kElectionTimeout + Duration(spread(random_));
+  std::uniform_int_distribution<std::int64_t> spread(0, config_.timing.election_timeout.count());
+  election_at_ = now + config_.timing.election_timeout + Duration(spread(random_));
 }
 
 bool Replica::log_is_current(const VoteRequest& request) const {
@@ -121,7 +121,7 @@
   LogIndex best_index = 0;
   for (const auto& replica : replicas_.replicas) {
     const Progress& progress = progress_[replica.id];
-    const bool lives = now - progress.confirmed_at < control_timing::kElectionTimeout;
+    const bool lives = now - progress.confirmed_at < config_.timing.election_timeout;
     if (replica.voter && replica.id != config_.id && lives && progress.match_index >= best_index) {
       best = &replica;
       best_index = progress.match_index;
--- a/src/tasks/control_task.cc
+++ b/src/tasks/control_task.cc
@@ -78,6 +78,7 @@
   replica.address = task->config_.address;
   replica.seeds = task->config_.replicas;
   replica.random_seed = task->config_.incarnation;
+  replica.timing = task->config_.timing;
   ControlTask& self = *task;
   ReplicaStorage& storage = self;
   ControlOutput& output = self;
--- a/src/tasks/control_task.h
+++ b/src/tasks/control_task.h
@@ -26,6 +26,7 @@
   ClusterKeys keys;
   std::uint64_t incarnation = 0;
   Duration tick_interval = Replica::kTickInterval;
+  ReplicaTiming timing;
   /// How long a steering command waits to be decided.
   Duration steering_timeout = std::chrono::milliseconds(900);
   RegistrationTiming registrations;
--- a/src/tasks/steering_task.cc
+++ b/src/tasks/steering_task.cc
@@ -65,6 +65,10 @@
   last_packet_ = now;
   const SteeringDecision decision = steering_.on_packet(*packet, now);
   ++counters_.packets[static_cast<std::size_t>(decision.reason)];
+  if (decision.reason == SteeringReason::kNoState) {
+    held_.hold(datagram, now);
+    return;
+  }
   log_decision(*packet, decision);
   if (decision.action == SteeringAction::kForward) {
     std::array<std::uint8_t, kMaxDatagram> copy{};
@@ -137,7 +141,14 @@
   log_event(LogLevel::kInfo, "revision_in_force",
             {{"revision", fleet.revision},
              {"operator_version", fleet.steering.settings.version},
-             {"targets", fleet.steering.targets.size()}});
+             {"targets", fleet.steering.targets.size()},
+             {"held_packets", held_.size()}});
+  if (steering_.has_settings() && held_.size() > 0) {
+    for (const auto& packet : held_.take(now)) {
+      on_datagram(packet);
+    }
+    socket_->flush();
+  }
 }
 
 }  // namespace gorsevalve
--- a/src/tasks/steering_task.h
+++ b/src/tasks/steering_task.h
@@ -13,6 +13,7 @@
 #include "codec/envelope.h"
 #include "core/balancer/control_client.h"
 #include "core/steering/flow_steering.h"
+#include "core/steering/held_packets.h"
 #include "tasks/event_loop.h"
 #include "tasks/frame_network.h"
 #include "tasks/udp_socket.h"
@@ -96,6 +97,7 @@
   ControlClient control_;
   FrameNetwork network_;
   std::unique_ptr<UdpSocket> socket_;
+  HeldPackets held_;
   SteeringCounters counters_;
   Instant last_packet_;
   std::optional<Instant> stop_since_;
