Starting balancers ask often; unit tests of steering, registrations, storage refusals, adapter

A pre-vote that voters refuse, because they have only just started themselves, was repeated after a whole election timeout.

Change: an observer asks each 100 ms until its state is confirmed; pre-votes are repeated after a quarter of the timeout. Tests for the new modules and for what the platform showed: learners, full disks, leadership transfer, lost voters, observers, packet head, bodies, settings; the new decoders are fuzzed.

--- a/src/core/balancer/control_client.cc
+++ b/src/core/balancer/control_client.cc
@@ -188,7 +188,8 @@
   // Progress is told at once, so that a change that waits for it goes on.
   const bool progress = settled_revision != reported_settled_ && settled_revision != 0;
   if (now >= next_heartbeat_ || progress) {
-    next_heartbeat_ = now + timing_.heartbeat_interval;
+    const bool is_starting = self_.state == MemberState::kObserver && !has_been_current_;
+    next_heartbeat_ = now + (is_starting ? timing_.starting_interval : timing_.heartbeat_interval);
     reported_settled_ = settled_revision;
     send_heartbeat(settled_revision, now);
   }
--- a/src/core/balancer/control_client.h
+++ b/src/core/balancer/control_client.h
@@ -32,6 +32,8 @@
   Duration heartbeat_interval = std::chrono::milliseconds(1000);
   /// A replica that is silent for this long is left for the next one.
   Duration replica_timeout = std::chrono::milliseconds(1500);
+  /// Pause between heartbeats of an observer until its state is confirmed as the newest.
+  Duration starting_interval = std::chrono::milliseconds(1000);
 };
 
 /// Deliberate faults, for the test that shows that the checkers can fail. All off in programs.
--- a/src/core/control/replica_election.cc
+++ b/src/core/control/replica_election.cc
@@ -26,6 +26,11 @@
 void Replica::start_election(bool pre_vote, Instant now, bool leader_agrees) {
   const HardState before = hard_state_;
   reset_election_timer(now);
+  if (pre_vote) {
+    // A pre-vote changes nothing, so it is repeated soon: after a restart of all, voters refuse
+    // until an election timeout after their own start.
+    election_at_ -= (election_at_ - now) * 3 / 4;
+  }
   role_ = ReplicaRole::kCandidate;
   leader_.reset();
   in_pre_vote_ = pre_vote;
--- a/src/core/control/replica_log.cc
+++ b/src/core/control/replica_log.cc
@@ -45,7 +45,8 @@
   Progress& progress = progress_[replica.id];
   progress.last_sent = now;
   if (progress.next_index <= snapshot_index()) {
-    send(replica.address, hard_state_.term, {0, 0, SnapshotRequest{config_.address, *snapshot_, to_us(now)}});
+    send(replica.address, hard_state_.term,
+         {0, 0, SnapshotRequest{config_.address, *snapshot_, to_us(now)}});
     return;
   }
   AppendRequest request;
--- a/src/tasks/control_task.cc
+++ b/src/tasks/control_task.cc
@@ -192,7 +192,7 @@
   return {SteeringStatus::kNotLeader, node_->other_leader(monotonic_now())};
 }
 
-void ControlTask::submit_steering(SteeringCommand command, SteeringCallback callback) {
+void ControlTask::submit_steering(const SteeringCommand& command, SteeringCallback callback) {
   const Instant now = monotonic_now();
   if (stopping_ || !node_->replica().has_lease(now)) {
     callback(not_leader());
--- a/src/tasks/control_task.h
+++ b/src/tasks/control_task.h
@@ -70,7 +70,7 @@
   [[nodiscard]] SubmissionResult outcome(const SubmissionId& id) const;
 
   /// Submits a whole steering file; the highest version holds.
-  void submit_steering(SteeringCommand command, SteeringCallback callback);
+  void submit_steering(const SteeringCommand& command, SteeringCallback callback);
   /// A target announced itself.
   void announce(RegisteredTarget announced, SteeringCallback callback);
   /// A target said that it has ended.
--- a/src/tasks/steering_task.cc
+++ b/src/tasks/steering_task.cc
@@ -11,7 +11,10 @@
 using std::chrono::milliseconds;
 
 constexpr Duration kTickInterval = milliseconds(250);
-constexpr ControlClientTiming kControlTiming{milliseconds(500), milliseconds(800)};
+/// Tick while the first state is awaited.
+constexpr Duration kStartTickInterval = milliseconds(100);
+constexpr ControlClientTiming kControlTiming{milliseconds(500), milliseconds(800),
+                                             kStartTickInterval};
 /// Routers need this long to turn away; after it a stop waits for silence only.
 constexpr Duration kTurnAwayTime = milliseconds(1500);
 constexpr Duration kSilenceBeforeStop = milliseconds(700);
@@ -29,8 +32,8 @@
   self.socket_ = std::move(*socket);
   self.socket_->start(
       [&self](ByteView datagram, const Endpoint& /*from*/) { self.on_datagram(datagram); });
-  loop.post([&self] { self.on_tick(); });
   loop.every(kTickInterval, [&self] { self.on_tick(); });
+  self.tick_until_ready();
   return task;
 }
 
@@ -49,6 +52,14 @@
   return !stop_since_ && steering_.has_settings() && control_.has_been_current();
 }
 
+void SteeringTask::tick_until_ready() {
+  if (is_ready()) {
+    return;
+  }
+  control_.on_tick(0, monotonic_now());
+  loop_.after(kStartTickInterval, [this] { tick_until_ready(); });
+}
+
 void SteeringTask::begin_stop() {
   stop_since_ = monotonic_now();
   last_packet_ = *stop_since_;
--- a/src/tasks/steering_task.h
+++ b/src/tasks/steering_task.h
@@ -81,6 +81,8 @@
   void on_datagram(ByteView datagram);
   std::optional<Endpoint> on_frame(ByteView frame);
   void on_tick();
+  /// Asks the replicas more often until the first state is confirmed.
+  void tick_until_ready();
   void log_decision(const CallerPacket& packet, const SteeringDecision& decision) const;
 
   void send_control(const Endpoint& replica, const NodeMessage& message) override;
--- /dev/null
+++ b/tests/platform/test_platform.cc
@@ -0,0 +1,181 @@
+#include <doctest/doctest.h>
+
+#include <cstring>
+#include <random>
+
+#include "platform/bodies.h"
+#include "platform/node_settings.h"
+#include "platform/packet_head.h"
+
+namespace gorsevalve::platform {
+namespace {
+
+/// The opening packet that the protocol page shows.
+const Bytes kOpening = {0x00, 0x00, 0x44, 0x33, 0x22, 0x11, 0x00, 0x00, 0x00, 0x00, 0xd5,
+                        0xc3, 0xb2, 0xa1, 0x01, 0x00, 0x12, 0xc6, 0x41, 0x9c, 0x07, 0x00,
+                        0x40, 0x64, 0xbb, 0x01, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00};
+/// The reset that the protocol page shows for it.
+const Bytes kReset = {0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00,
+                      0x00, 0x00, 0x00, 0x07, 0x00, 0x40, 0x64, 0xbb, 0x01, 0x01, 0x00,
+                      0x12, 0xc6, 0x41, 0x9c, 0x01, 0x00, 0x00, 0x00, 0x00, 0x00};
+
+const std::string kConfiguration = R"({"version":7,"routes":[
+  {"name":"a","host":"198.18.0.1","path_prefix":"/8443/","type":"idempotent","timeout_ms":1200,
+   "aim_ms":120,"priority":2,"backends":[{"service":"s1","weight":90},{"service":"s2","weight":10}],
+   "attempts":2},
+  {"name":"b","host":"198.18.0.1","path_prefix":"/8080/","type":"non_idempotent","timeout_ms":1500,
+   "aim_ms":150,"priority":1,"service":"s1","attempts":2}],
+ "services":[{"name":"s1","health_check":"/health","max_conns":2000,"protocol":"h1","tls":false},
+  {"name":"s2","health_check":"/health","max_conns":2000,"protocol":"h1","tls":false}],
+ "limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,
+  "idle_timeout_ms":15000}})";
+
+std::string replaced(std::string text, const std::string& from, const std::string& to) {
+  const std::size_t at = text.find(from);
+  REQUIRE(at != std::string::npos);
+  return text.replace(at, from.size(), to);
+}
+
+const std::string kAnnouncement =
+    R"({"service":"s1","address":"10.128.0.9:8080","zone":"z","version":"v1","slots":2,)"
+    R"("state":"ready","warmup_left_ms":0,"seq":4})";
+
+const std::string kSettings = R"(name = "edge-1"
+zone = "z"
+ip = "10.1.0.10"
+first_internal_port = 7720
+datagrams = "10.1.0.10:8172"
+readiness = "10.1.0.10:8167"
+control = ""
+seeds = ["10.1.0.13:8166","10.2.0.42:8166"]
+first_start = true
+data_folder = ""
+announce_interval_ms = 1200
+stop_time_s = 6
+forwarding = "echo"
+)";
+
+}  // namespace
+
+TEST_SUITE("platform") {
+  TEST_CASE("the page's opening packet is read, and its reset is written, octet by octet") {
+    const PlatformPacketFormat format(8172);
+    const auto packet = format.parse(kOpening);
+    REQUIRE(packet);
+    CHECK(packet->opens);
+    CHECK(to_string(packet->flow.caller) == "100.64.0.7:40001");
+    CHECK(to_string(packet->flow.frontend) == "198.18.0.1:443");
+    CHECK(packet->copies_before == 0);
+    CHECK(format.make_reset(*packet) == kReset);
+    CHECK(to_string(format.reset_destination(*packet)) == "100.64.0.7:8172");
+  }
+
+  TEST_CASE("a forwarded packet differs in the token only, behind the target's number") {
+    const PlatformPacketFormat format(8172);
+    Bytes datagram = kOpening;
+    RegisteredTarget target;
+    target.id = 0x7f3a91c2;
+    target.token = 0x04030201;
+    std::array<std::uint8_t, kMaxSteeringPrefix> prefix{};
+    REQUIRE(format.prepare_forward(datagram, target, prefix) == 8);
+    const std::array<std::uint8_t, 8> expected = {0, 0, 0, 0, 0x7f, 0x3a, 0x91, 0xc2};
+    CHECK(std::memcmp(prefix.data(), expected.data(), expected.size()) == 0);
+    CHECK(std::memcmp(datagram.data(), kOpening.data(), 28) == 0);
+    CHECK(format.parse(datagram)->token == 0x04030201);
+  }
+
+  TEST_CASE("malformed packets and those that only targets write are refused") {
+    const PlatformPacketFormat format(8172);
+    CHECK_FALSE(format.parse(ByteView(kOpening).first(31)));
+    Bytes longer = kOpening;
+    longer.push_back(0);
+    CHECK_FALSE(format.parse(longer));
+    Bytes answer = kOpening;
+    answer[26] = 8 | 2;
+    CHECK_FALSE(format.parse(answer));
+  }
+
+  TEST_CASE("a configuration is translated") {
+    const auto settings = parse_configuration(kConfiguration);
+    REQUIRE(settings);
+    CHECK(settings->version == 7);
+    CHECK(settings->idle_timeout_ms == 15000);
+    REQUIRE(settings->frontends.size() == 2);
+    CHECK(to_string(settings->frontends[0].address) == "198.18.0.1:8080");
+    REQUIRE(settings->frontends[1].pools.size() == 2);
+    CHECK(settings->frontends[1].pools[0] == WeightedPool{"s1", 90});
+    CHECK(settings->frontends[0].pools[0].pool == "s1");
+  }
+
+  TEST_CASE("an invalid configuration is refused with the field's name") {
+    const auto refused = [](const std::string& body, const std::string& word) {
+      const auto settings = parse_configuration(body);
+      REQUIRE_FALSE(settings);
+      CHECK(settings.error().find(word) != std::string::npos);
+    };
+    refused(kConfiguration.substr(0, kConfiguration.size() - 9), "JSON");
+    refused("[]", "version");
+    refused(replaced(kConfiguration, R"("service":"s1","attempts")", R"("service":"x","attempts")"),
+            "not declared");
+    refused(replaced(kConfiguration, "/8080/", "/8443/"), "same place");
+    refused(replaced(kConfiguration, R"("timeout_ms":1500)", R"("timeout_ms":0)"), "timeout_ms");
+    refused(replaced(kConfiguration, R"("weight":90)", R"("weight":-1)"), "weight");
+    refused(replaced(replaced(kConfiguration, R"("weight":90)", R"("weight":0)"), R"("weight":10)",
+                     R"("weight":0)"),
+            "weight");
+    refused(replaced(kConfiguration, R"({"service":"s2","weight":10})", R"({"service":"s2"})"),
+            "weight");
+    refused(replaced(kConfiguration, R"("version":7)", R"("version":"7")"), "version");
+    refused(replaced(kConfiguration, "198.18.0.1", "198.18.0"), "host");
+  }
+
+  TEST_CASE("announcements are translated; bad ones are refused with the field's name") {
+    const auto target = parse_announcement("i-7f3a91c2", kAnnouncement);
+    REQUIRE(target);
+    CHECK(target->id == 0x7f3a91c2);
+    CHECK(target->pool == "s1");
+    CHECK(target->phase == TargetPhase::kReady);
+    CHECK(target->sequence == 4);
+    const auto draining =
+        parse_announcement("i-7f3a91c2", replaced(kAnnouncement, "ready", "draining"));
+    CHECK(draining->phase == TargetPhase::kDraining);
+    CHECK_FALSE(parse_announcement("i-", kAnnouncement));
+    CHECK_FALSE(parse_announcement("i-xyz", kAnnouncement));
+    CHECK_FALSE(parse_announcement("i-1", replaced(kAnnouncement, "ready", "gone")));
+    CHECK_FALSE(parse_announcement("i-1", replaced(kAnnouncement, R"("seq":4)", R"("seq":"4")")));
+    CHECK_FALSE(parse_announcement("i-1", replaced(kAnnouncement, "10.128.0.9:8080", "here")));
+  }
+
+  TEST_CASE("settings are read; a bad field is named") {
+    const auto settings = parse_node_settings(kSettings, "boot.conf");
+    REQUIRE(settings);
+    CHECK(settings->datagrams.port == 8172);
+    CHECK(settings->control.port == 0);
+    CHECK(settings->reflects_token);
+    REQUIRE(settings->replica_addresses().size() == 2);
+    CHECK(to_string(settings->replica_addresses()[1]) == "10.2.0.42:7720");
+    const auto bad =
+        parse_node_settings(replaced(kSettings, "10.1.0.10:8172", "here"), "boot.conf");
+    REQUIRE_FALSE(bad);
+    CHECK(bad.error() == "boot.conf: datagrams: \"here\" is not an address such as 10.0.0.1:8166");
+    CHECK_FALSE(parse_node_settings("name = ", "boot.conf"));
+  }
+
+  TEST_CASE("no change of octets makes a decoder misbehave") {
+    std::mt19937_64 random(20261202);
+    const PlatformPacketFormat format(8172);
+    for (int round = 0; round < 20000; ++round) {
+      Bytes packet = kOpening;
+      std::string body = round % 2 == 0 ? kConfiguration : kAnnouncement;
+      packet[random() % packet.size()] ^= static_cast<std::uint8_t>(1U << (random() % 8));
+      packet.resize(packet.size() + random() % 3 - 1);
+      body[random() % body.size()] = static_cast<char>(random());
+      body.resize(body.size() - random() % 5);
+      static_cast<void>(format.parse(packet));
+      static_cast<void>(parse_configuration(body));
+      static_cast<void>(parse_announcement("i-7f", body));
+    }
+  }
+}
+
+}  // namespace gorsevalve::platform
--- a/tests/unit/test_control_client.cc
+++ b/tests/unit/test_control_client.cc
@@ -128,6 +128,74 @@
     test.client.on_message(kReplica, reply, kStart + std::chrono::seconds(3));
     CHECK(test.output.lease == kStart + std::chrono::seconds(10));
   }
+
+  TEST_CASE("an observer leaves a replica that is not current, and asks often until one is") {
+    constexpr Endpoint kOther{0x0A00C802, 7000};
+    RecordingOutput output;
+    Member self = make_self();
+    self.state = MemberState::kObserver;
+    ControlClient client{self, {kReplica, kOther}, {}, output};
+    client.set_timing({std::chrono::milliseconds(500), std::chrono::milliseconds(800),
+                       std::chrono::milliseconds(100)});
+    client.on_tick(0, kStart);
+    REQUIRE(output.heartbeats.size() == 1);
+    HeartbeatReply stale;
+    stale.sequence = 1;
+    for (const Endpoint& replica : {kReplica, kOther}) {
+      client.on_message(replica, stale, kStart + std::chrono::milliseconds(5));
+    }
+    CHECK_FALSE(client.has_been_current());
+    client.on_tick(0, kStart + std::chrono::milliseconds(110));
+    REQUIRE(output.heartbeats.size() == 2);
+    HeartbeatReply current;
+    current.sequence = 2;
+    current.is_current = true;
+    current.revision = 3;
+    client.on_message(kOther, current, kStart + std::chrono::milliseconds(115));
+    // The replica holds more than this node has: not confirmed yet.
+    CHECK_FALSE(client.has_been_current());
+    FleetState state;
+    state.revision = 3;
+    client.on_message(kOther, whole(state), kStart + std::chrono::milliseconds(116));
+    // With the state in force it asks at once.
+    REQUIRE(output.heartbeats.size() == 3);
+    CHECK(output.heartbeats[2].revision == 3);
+    current.sequence = 3;
+    client.on_message(kOther, current, kStart + std::chrono::milliseconds(120));
+    CHECK(client.has_been_current());
+    // From now on the usual pause holds.
+    client.on_tick(0, kStart + std::chrono::milliseconds(250));
+    client.on_tick(0, kStart + std::chrono::milliseconds(400));
+    CHECK(output.heartbeats.size() == 4);
+  }
+
+  TEST_CASE("an observer follows the replicas that a current replica names, and new seeds") {
+    constexpr Endpoint kNew{0x0A00C803, 7000};
+    constexpr Endpoint kSeed{0x0A00C804, 7000};
+    std::vector<Endpoint> asked;
+    struct AskedOutput : RecordingOutput {
+      explicit AskedOutput(std::vector<Endpoint>& list) : list(list) {}
+      void send_control(const Endpoint& replica, const NodeMessage& /*message*/) override {
+        list.push_back(replica);
+      }
+      std::vector<Endpoint>& list;
+    };
+    AskedOutput output(asked);
+    Member self = make_self();
+    self.state = MemberState::kObserver;
+    ControlClient client{self, {kReplica}, {}, output};
+    client.on_tick(0, kStart);
+    HeartbeatReply reply;
+    reply.sequence = 1;
+    reply.is_current = true;
+    reply.replicas = {kNew};
+    client.on_message(kReplica, reply, kStart);
+    client.on_tick(0, kStart + std::chrono::seconds(1));
+    CHECK(asked.back() == kNew);
+    client.set_seeds({kSeed});
+    client.on_tick(0, kStart + std::chrono::seconds(3));
+    CHECK(asked.back() == kSeed);
+  }
 }
 
 }  // namespace gorsevalve
--- /dev/null
+++ b/tests/unit/test_flow_steering.cc
@@ -0,0 +1,269 @@
+#include <doctest/doctest.h>
+
+#include <map>
+
+#include "core/control/steering_commands.h"
+#include "core/steering/flow_steering.h"
+#include "core/steering/held_packets.h"
+
+namespace gorsevalve {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Instant kStart{std::chrono::seconds(1000)};
+constexpr Endpoint kFrontend{0xC6120001, 443};
+
+RegisteredTarget target(TargetId id, const std::string& pool,
+                        TargetPhase phase = TargetPhase::kReady) {
+  RegisteredTarget result;
+  result.id = id;
+  result.token = static_cast<FlowToken>(100 + id);
+  result.pool = pool;
+  result.address = {10, static_cast<std::uint16_t>(8000 + id)};
+  result.slots = 2;
+  result.phase = phase;
+  return result;
+}
+
+SteeringState make_state(std::vector<WeightedPool> pools, std::vector<RegisteredTarget> targets) {
+  SteeringState state;
+  state.settings.version = 1;
+  state.settings.idle_timeout_ms = 15000;
+  state.settings.frontends.push_back({"f", kFrontend, std::move(pools), {}, 1000, 100});
+  state.targets = std::move(targets);
+  return state;
+}
+
+CallerPacket opening(std::uint16_t port, std::uint32_t copies_before = 0) {
+  CallerPacket packet;
+  packet.flow = {{0x64400007, port}, kFrontend};
+  packet.opens = true;
+  packet.copies_before = copies_before;
+  return packet;
+}
+
+CallerPacket later(std::uint16_t port, FlowToken token, std::uint32_t acknowledged = 1,
+                   std::uint32_t data = 0) {
+  CallerPacket packet;
+  packet.flow = {{0x64400007, port}, kFrontend};
+  packet.token = token;
+  packet.acknowledged = acknowledged;
+  packet.data_size = data;
+  return packet;
+}
+
+/// A balancer with the given state.
+struct SteeringBalancer {
+  explicit SteeringBalancer(const SteeringState& state) { steering.adopt(state, kStart); }
+  FlowSteering steering{7};
+};
+
+}  // namespace
+
+TEST_SUITE("flow_steering") {
+  TEST_CASE("a flow stays at its target at every balancer, whatever changes meanwhile") {
+    SteeringState state = make_state({{"alpha", 1}}, {target(1, "alpha"), target(2, "alpha")});
+    SteeringBalancer first(state);
+    const auto placed = first.steering.on_packet(opening(1), kStart);
+    REQUIRE(placed.action == SteeringAction::kForward);
+    const TargetId id = placed.target->id;
+    const FlowToken token = placed.target->token;
+    // The target drains, others come, and another balancer that never saw the flow gets it.
+    for (auto& one : state.targets) {
+      one.phase = one.id == id ? TargetPhase::kDraining : one.phase;
+    }
+    state.targets.push_back(target(3, "alpha"));
+    SteeringBalancer second(state);
+    const auto followed = second.steering.on_packet(later(1, token), kStart);
+    REQUIRE(followed.action == SteeringAction::kForward);
+    CHECK(followed.target->id == id);
+    CHECK(followed.reason == SteeringReason::kToken);
+  }
+
+  TEST_CASE("a leaving, ended or unknown target gets no new flow") {
+    SteeringBalancer test(make_state({{"alpha", 1}}, {target(1, "alpha", TargetPhase::kDraining),
+                                                      target(2, "alpha", TargetPhase::kEnded),
+                                                      target(3, "alpha"), target(4, "other")}));
+    for (std::uint16_t port = 1; port <= 50; ++port) {
+      const auto decision = test.steering.on_packet(opening(port), kStart);
+      REQUIRE(decision.action == SteeringAction::kForward);
+      CHECK(decision.target->id == 3);
+    }
+  }
+
+  TEST_CASE("an open flow goes on at a target that has said that it ended") {
+    SteeringBalancer test(
+        make_state({{"alpha", 1}}, {target(1, "alpha", TargetPhase::kEnded), target(3, "alpha")}));
+    const auto decision = test.steering.on_packet(later(1, 101), kStart);
+    REQUIRE(decision.action == SteeringAction::kForward);
+    CHECK(decision.target->id == 1);
+  }
+
+  TEST_CASE("a token of an ended target never resolves to the next holder of its address") {
+    RegisteredTarget heir = target(2, "alpha");
+    heir.address = target(1, "alpha").address;
+    SteeringBalancer test(
+        make_state({{"alpha", 1}}, {target(1, "alpha", TargetPhase::kEnded), heir}));
+    const auto decision = test.steering.on_packet(later(1, 101), kStart);
+    CHECK(decision.action == SteeringAction::kReset);
+    CHECK(decision.reason == SteeringReason::kTargetReplaced);
+  }
+
+  TEST_CASE("a token counts only where the frontend reaches the target, or did before") {
+    SteeringState state = make_state({{"alpha", 1}}, {target(1, "alpha"), target(2, "beta")});
+    SteeringBalancer test(state);
+    CHECK(test.steering.on_packet(later(1, 102), kStart).reason == SteeringReason::kForeignToken);
+    state.settings.version = 2;
+    state.settings.frontends[0].former_pools = {"beta"};
+    test.steering.adopt(state, kStart);
+    CHECK(test.steering.on_packet(later(1, 102), kStart).reason == SteeringReason::kToken);
+  }
+
+  TEST_CASE("unknown tokens are dropped and never guessed") {
+    SteeringBalancer test(make_state({{"alpha", 1}}, {target(1, "alpha")}));
+    CHECK(test.steering.on_packet(later(1, 999), kStart).action == SteeringAction::kDrop);
+    CHECK(test.steering.on_packet(later(1, 0), kStart).action == SteeringAction::kDrop);
+  }
+
+  TEST_CASE("the first copy of an opening packet meets the same target, the second another") {
+    SteeringBalancer test(make_state({{"alpha", 1}}, {target(1, "alpha"), target(2, "alpha")}));
+    const auto first = test.steering.on_packet(opening(1), kStart);
+    REQUIRE(first.target != nullptr);
+    const TargetId id = first.target->id;
+    const auto copy = test.steering.on_packet(opening(1, 1), kStart + milliseconds(200));
+    REQUIRE(copy.target != nullptr);
+    CHECK(copy.target->id == id);
+    CHECK(copy.reason == SteeringReason::kCopy);
+    const auto second = test.steering.on_packet(opening(1, 2), kStart + milliseconds(600));
+    REQUIRE(second.target != nullptr);
+    CHECK(second.target->id != id);
+    CHECK(second.reason == SteeringReason::kPlacedAgain);
+  }
+
+  TEST_CASE("a copy stays with the only target") {
+    SteeringBalancer test(make_state({{"alpha", 1}}, {target(1, "alpha")}));
+    test.steering.on_packet(opening(1), kStart);
+    const auto second = test.steering.on_packet(opening(1, 2), kStart + milliseconds(600));
+    REQUIRE(second.target != nullptr);
+    CHECK(second.target->id == 1);
+  }
+
+  TEST_CASE("a target that leaves opening packets unanswered is avoided for a while") {
+    SteeringBalancer test(make_state({{"alpha", 1}}, {target(1, "alpha"), target(2, "alpha")}));
+    // Flows of target 1 never open; those of target 2 do.
+    Instant now = kStart;
+    int late_to_dead = 0;
+    for (std::uint16_t port = 1; port <= 40; ++port) {
+      now += milliseconds(20);
+      const auto decision = test.steering.on_packet(opening(port), now);
+      REQUIRE(decision.target != nullptr);
+      if (decision.target->id == 1) {
+        late_to_dead += port > 8 ? 1 : 0;
+        test.steering.on_packet(opening(port, 1), now);
+      } else {
+        test.steering.on_packet(later(port, 102), now);
+      }
+    }
+    CHECK(late_to_dead == 0);
+  }
+
+  TEST_CASE("new flows spread evenly, and shares of pools hold") {
+    SteeringBalancer test(make_state(
+        {{"alpha", 9}, {"beta", 1}},
+        {target(1, "alpha"), target(2, "alpha"), target(3, "alpha"), target(4, "beta")}));
+    std::map<TargetId, int> flows;
+    for (std::uint16_t port = 1; port <= 300; ++port) {
+      const auto decision = test.steering.on_packet(opening(port), kStart);
+      REQUIRE(decision.target != nullptr);
+      ++flows[decision.target->id];
+    }
+    CHECK(flows[4] == 30);
+    CHECK(flows[1] == 90);
+    CHECK(flows[2] == 90);
+    CHECK(flows[3] == 90);
+  }
+
+  TEST_CASE("a slow target gets fewer new flows soon") {
+    SteeringBalancer test(
+        make_state({{"alpha", 1}}, {target(1, "alpha"), target(2, "alpha"), target(3, "alpha")}));
+    std::map<TargetId, int> late;
+    Instant now = kStart;
+    for (std::uint16_t port = 1; port <= 300; ++port) {
+      now += milliseconds(10);
+      const auto decision = test.steering.on_packet(opening(port), now);
+      REQUIRE(decision.target != nullptr);
+      const TargetId id = decision.target->id;
+      const FlowToken token = decision.target->token;
+      late[id] += port > 150 ? 1 : 0;
+      const Duration took = milliseconds(id == 1 ? 120 : 25);
+      test.steering.on_packet(later(port, token, 1, 200), now);
+      test.steering.on_packet(later(port, token, 900), now + took);
+    }
+    CHECK(late[1] * 3 < late[2]);
+    CHECK(late[1] > 0);
+  }
+
+  TEST_CASE("a frontend that was dropped resets its flows; one never known resets openings only") {
+    SteeringState state = make_state({{"alpha", 1}}, {target(1, "alpha")});
+    SteeringBalancer test(state);
+    CallerPacket stranger = later(1, 101);
+    stranger.flow.frontend = {5, 5};
+    CHECK(test.steering.on_packet(stranger, kStart).action == SteeringAction::kDrop);
+    stranger.opens = true;
+    CHECK(test.steering.on_packet(stranger, kStart).action == SteeringAction::kReset);
+    state.settings.version = 2;
+    state.settings.frontends.clear();
+    test.steering.adopt(state, kStart);
+    CHECK(test.steering.on_packet(later(1, 101), kStart).action == SteeringAction::kReset);
+    CallerPacket reset = later(1, 101);
+    reset.resets = true;
+    CHECK(test.steering.on_packet(reset, kStart).action == SteeringAction::kDrop);
+  }
+
+  TEST_CASE("without a target the caller is told at once; without a state nothing is guessed") {
+    FlowSteering empty(7);
+    CHECK(empty.on_packet(opening(1), kStart).reason == SteeringReason::kNoState);
+    SteeringBalancer test(make_state({{"alpha", 1}}, {target(1, "alpha", TargetPhase::kDraining)}));
+    const auto decision = test.steering.on_packet(opening(1), kStart);
+    CHECK(decision.action == SteeringAction::kReset);
+    CHECK(decision.reason == SteeringReason::kNoTarget);
+  }
+
+  TEST_CASE("open flows are counted once, and forgotten after a rest") {
+    SteeringBalancer test(make_state({{"alpha", 1}}, {target(1, "alpha")}));
+    test.steering.on_packet(opening(1), kStart);
+    test.steering.on_packet(later(1, 101), kStart);
+    test.steering.on_packet(later(1, 101, 5, 10), kStart);
+    CHECK(test.steering.scores().find(1)->open_flows == 1);
+    CHECK(test.steering.scores().find(1)->busy_flows == 1);
+    CallerPacket end = later(1, 101, 9);
+    end.closes = true;
+    test.steering.on_packet(end, kStart);
+    CHECK(test.steering.scores().find(1)->open_flows == 0);
+    CHECK(test.steering.scores().find(1)->busy_flows == 0);
+    test.steering.on_packet(later(1, 101, 9), kStart);
+    CHECK(test.steering.scores().find(1)->open_flows == 0);
+    test.steering.on_packet(opening(2), kStart);
+    test.steering.on_tick(kStart + std::chrono::seconds(20));
+    CHECK(test.steering.flows() == 0);
+    CHECK(test.steering.scores().find(1)->open_flows == 0);
+  }
+
+  TEST_CASE("held packets come back in order while they are young, within a bound") {
+    HeldPackets held;
+    const Bytes old = {1};
+    const Bytes young = {2};
+    held.hold(old, kStart);
+    held.hold(young, kStart + milliseconds(1000));
+    const auto back = held.take(kStart + milliseconds(1500));
+    REQUIRE(back.size() == 1);
+    CHECK(back[0] == young);
+    for (std::size_t i = 0; i < HeldPackets::kMaxPackets + 5; ++i) {
+      held.hold(young, kStart);
+    }
+    CHECK(held.size() == HeldPackets::kMaxPackets);
+  }
+}
+
+}  // namespace gorsevalve
--- a/tests/unit/test_log_store.cc
+++ b/tests/unit/test_log_store.cc
@@ -36,6 +36,47 @@
     CHECK(stored->entries[2] == make_entry(3));
   }
 
+  TEST_CASE("a refused write leaves the log as it was, and the log goes on when the disk does") {
+    for (std::uint64_t operations = 0; operations < 12; ++operations) {
+      SimDisk disk;
+      fill(disk);
+      LogStore store(disk);
+      REQUIRE(store.open());
+      disk.fail_after(operations);
+      LogIndex next = 4;
+      for (int i = 0; i < 6; ++i) {
+        next += store.append(make_frame(next)) ? 1 : 0;
+      }
+      disk.mend();
+      REQUIRE(store.append(make_frame(next)));
+      LogStore again(disk);
+      const auto stored = again.open();
+      REQUIRE(stored);
+      CHECK(stored->entries.size() == next);
+    }
+  }
+
+  TEST_CASE("a refused snapshot leaves a log that goes on") {
+    for (std::uint64_t operations = 0; operations < 10; ++operations) {
+      SimDisk disk;
+      fill(disk);
+      LogStore store(disk);
+      REQUIRE(store.open());
+      disk.fail_after(operations);
+      const Snapshot snapshot{2, 1, {}, Bytes(10, 3)};
+      const LogFrame rest{HardState{3, 9}, std::nullopt, {make_entry(3)}};
+      static_cast<void>(store.replace_with_snapshot(snapshot, rest));
+      disk.mend();
+      REQUIRE(store.append(make_frame(4)));
+      LogStore again(disk);
+      const auto stored = again.open();
+      REQUIRE(stored);
+      REQUIRE_FALSE(stored->entries.empty());
+      CHECK(stored->entries.back().index == 4);
+      CHECK(stored->hard_state == HardState{3, 9});
+    }
+  }
+
   TEST_CASE("a torn end is cut at every length, and the log goes on") {
     SimDisk whole;
     fill(whole);
--- /dev/null
+++ b/tests/unit/test_registration_monitor.cc
@@ -0,0 +1,58 @@
+#include <doctest/doctest.h>
+
+#include "core/control/registration_monitor.h"
+
+namespace gorsevalve {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Instant kStart{seconds(1000)};
+const RegistrationTiming kTiming{milliseconds(4000), seconds(40), seconds(120)};
+
+SteeringState with_target(TargetPhase phase) {
+  SteeringState state;
+  RegisteredTarget target;
+  target.id = 5;
+  target.phase = phase;
+  state.targets.push_back(target);
+  return state;
+}
+
+}  // namespace
+
+TEST_SUITE("registration_monitor") {
+  TEST_CASE("one late heartbeat is no evidence; a longer silence is") {
+    RegistrationMonitor monitor(kTiming);
+    monitor.on_elected(kStart);
+    monitor.on_heartbeat(5, kStart + seconds(1));
+    const SteeringState state = with_target(TargetPhase::kReady);
+    CHECK(monitor.conclude(state, kStart + milliseconds(4900)).empty());
+    CHECK(monitor.conclude(state, kStart + milliseconds(5100)).silent.size() == 1);
+  }
+
+  TEST_CASE("a new leader gives every target a full time-out") {
+    RegistrationMonitor monitor(kTiming);
+    monitor.on_elected(kStart);
+    monitor.on_heartbeat(5, kStart);
+    monitor.on_elected(kStart + seconds(30));
+    const SteeringState state = with_target(TargetPhase::kReady);
+    CHECK(monitor.conclude(state, kStart + seconds(33)).empty());
+    CHECK(monitor.conclude(state, kStart + seconds(35)).silent.size() == 1);
+  }
+
+  TEST_CASE("a silent target ends in time, and an ended one is forgotten in time") {
+    RegistrationMonitor monitor(kTiming);
+    monitor.on_elected(kStart);
+    const SteeringState silent = with_target(TargetPhase::kSilent);
+    CHECK(monitor.conclude(silent, kStart + seconds(39)).empty());
+    CHECK(monitor.conclude(silent, kStart + seconds(41)).ended.size() == 1);
+    const SteeringState ended = with_target(TargetPhase::kEnded);
+    CHECK(monitor.conclude(ended, kStart + seconds(42)).empty());
+    CHECK(monitor.conclude(ended, kStart + seconds(161)).empty());
+    CHECK(monitor.conclude(ended, kStart + seconds(163)).forgotten.size() == 1);
+  }
+}
+
+}  // namespace gorsevalve
--- a/tests/unit/test_replica.cc
+++ b/tests/unit/test_replica.cc
@@ -13,7 +13,9 @@
   bool replace_with_snapshot(const Snapshot& /*snapshot*/, const LogFrame& /*frame*/) override {
     return works;
   }
+  [[nodiscard]] bool can_try_again() const override { return recoverable; }
   bool works = true;
+  bool recoverable = false;
 };
 
 class RecordingOutput : public ReplicaOutput {
@@ -138,6 +140,129 @@
     CHECK(test.replica->has_failed());
   }
 
+  TEST_CASE("a replica on a full disk acknowledges nothing, lives on, and goes on when it can") {
+    TestReplica test;
+    test.storage.works = false;
+    test.storage.recoverable = true;
+    const Instant later = kStart + std::chrono::seconds(2);
+    test.replica->on_message({2, 4, VoteRequest{false, 0, 0, {2, 7000}}}, later);
+    AppendRequest append;
+    append.leader = {2, 7000};
+    append.entries.push_back({4, 1, EntryType::kNone, {}});
+    test.replica->on_message({2, 4, append}, later);
+    CHECK(test.output.sent.empty());
+    CHECK_FALSE(test.replica->has_failed());
+    test.storage.works = true;
+    test.replica->on_message({2, 4, append}, later);
+    REQUIRE(test.output.sent.size() == 1);
+    CHECK(std::get<AppendReply>(test.output.sent[0].body).accepted);
+  }
+
+  TEST_CASE("a leader whose disk refuses hands leadership over and does not raise its term") {
+    TestReplica test;
+    const Instant later = kStart + std::chrono::seconds(2);
+    elect(test, later);
+    const std::int64_t sent_at = later.time_since_epoch().count();
+    test.replica->on_message({2, 1, AppendReply{true, 1, sent_at}}, later);
+    test.storage.works = false;
+    test.storage.recoverable = true;
+    test.output.sent.clear();
+    CHECK_FALSE(test.replica->propose(EntryType::kSettings, {}, later));
+    CHECK_FALSE(test.replica->is_leader());
+    CHECK(count<LeadershipTransfer>(test.output.sent) == 1);
+    for (int i = 0; i < 500; ++i) {
+      test.replica->on_tick(later + i * std::chrono::milliseconds(20));
+      test.replica->on_message({2, 2, VoteReply{true, true}},
+                               later + i * std::chrono::milliseconds(20));
+    }
+    CHECK(test.replica->term() == 1);
+    CHECK(count<VoteRequest>(test.output.sent) > 0);
+  }
+
+  TEST_CASE("a leader that stops hands over at once, and voters look past its lease") {
+    TestReplica follower;
+    const Instant later = kStart + std::chrono::seconds(2);
+    AppendRequest append;
+    append.leader = {2, 7000};
+    follower.replica->on_message({2, 3, append}, later);
+    follower.output.sent.clear();
+    follower.replica->on_message({2, 3, LeadershipTransfer{}}, later);
+    REQUIRE(count<VoteRequest>(follower.output.sent) == 2);
+    const auto request = std::get<VoteRequest>(follower.output.sent[0].body);
+    CHECK(request.leader_agrees);
+    CHECK_FALSE(request.pre_vote);
+    TestReplica voter;
+    voter.replica->on_message({2, 3, append}, later);
+    voter.output.sent.clear();
+    voter.replica->on_message({3, 4, request}, later);
+    REQUIRE(count<VoteReply>(voter.output.sent) == 1);
+    CHECK(std::get<VoteReply>(voter.output.sent[0].body).granted);
+    // Nobody but the leader can ask for it.
+    TestReplica other;
+    other.replica->on_message({2, 3, append}, later);
+    other.output.sent.clear();
+    other.replica->on_message({3, 3, LeadershipTransfer{}}, later);
+    CHECK(other.output.sent.empty());
+  }
+
+  TEST_CASE("a follower is current while it hears its leader and has applied what that committed") {
+    TestReplica test;
+    const Instant later = kStart + std::chrono::seconds(2);
+    CHECK_FALSE(test.replica->is_current(later));
+    AppendRequest append;
+    append.leader = {2, 7000};
+    append.entries.push_back({3, 1, EntryType::kNone, {}});
+    append.commit_index = 2;
+    test.replica->on_message({2, 3, append}, later);
+    CHECK_FALSE(test.replica->is_current(later));
+    AppendRequest rest;
+    rest.leader = {2, 7000};
+    rest.previous_index = 1;
+    rest.previous_term = 3;
+    rest.entries.push_back({3, 2, EntryType::kNone, {}});
+    rest.commit_index = 2;
+    test.replica->on_message({2, 3, rest}, later);
+    CHECK(test.replica->is_current(later));
+    CHECK_FALSE(test.replica->is_current(later + std::chrono::milliseconds(700)));
+  }
+
+  TEST_CASE("a lost voter is removed once another took its place, and only then") {
+    TestReplica test;
+    const Instant start = kStart + std::chrono::seconds(2);
+    elect(test, start);
+    const auto confirm = [&](ReplicaId id, LogIndex index, Instant now) {
+      test.replica->on_message({id, 1, AppendReply{true, index, now.time_since_epoch().count()}},
+                               now);
+    };
+    Instant now = start;
+    const auto run = [&](bool with_fourth) {
+      for (int i = 0; i < 200; ++i) {
+        now += std::chrono::milliseconds(20);
+        confirm(2, test.replica->last_index(), now);
+        if (with_fourth) {
+          confirm(4, test.replica->last_index(), now);
+        }
+        test.replica->on_tick(now);
+      }
+    };
+    // Replica 3 says nothing for four seconds: three voters stay three.
+    run(false);
+    CHECK(test.replica->replicas().replicas.size() == 3);
+    test.replica->on_message({4, 0, JoinRequest{{4, 7000}}}, now);
+    run(true);
+    CHECK(test.replica->replicas().find(3) == nullptr);
+    CHECK(test.replica->replicas().is_voter(4));
+    CHECK(test.replica->replicas().replicas.size() == 3);
+  }
+
+  TEST_CASE("a voter that hears nobody asks to be taken in: it may have been removed") {
+    TestReplica test;
+    for (int i = 0; i < 300; ++i) {
+      test.replica->on_tick(kStart + i * std::chrono::milliseconds(20));
+    }
+    CHECK(count<JoinRequest>(test.output.sent) > 0);
+  }
+
   TEST_CASE("an entry is committed by a majority only, and a lease needs one") {
     TestReplica test;
     const Instant later = kStart + std::chrono::seconds(2);
--- /dev/null
+++ b/tests/unit/test_steering_commands.cc
@@ -0,0 +1,167 @@
+#include <doctest/doctest.h>
+
+#include "codec/archive.h"
+#include "core/control/control_state.h"
+#include "core/control/steering_commands.h"
+
+namespace gorsevalve {
+namespace {
+
+RegisteredTarget announce(TargetId id, std::uint64_t sequence,
+                          TargetPhase phase = TargetPhase::kReady) {
+  RegisteredTarget target;
+  target.id = id;
+  target.pool = "alpha";
+  target.address = {10, static_cast<std::uint16_t>(8000 + id)};
+  target.zone = "z";
+  target.slots = 2;
+  target.sequence = sequence;
+  target.phase = phase;
+  return target;
+}
+
+SteeringSettings settings(OperatorVersion version, const std::string& pool) {
+  SteeringSettings result;
+  result.version = version;
+  result.idle_timeout_ms = 15000;
+  result.pools = {{"alpha", 10}, {"beta", 10}};
+  result.frontends.push_back({"f", {1, 443}, {{pool, 1}}, {}, 1000, 100});
+  return result;
+}
+
+/// Applies a command when it changes something; tells whether it did.
+template <typename Command>
+bool apply(SteeringState& state, const Command& command) {
+  const auto delta = steering_delta(state, command);
+  if (delta) {
+    apply_steering_delta(state, *delta);
+  }
+  return delta.has_value();
+}
+
+RegistrationCommand announced(const RegisteredTarget& target) {
+  RegistrationCommand command;
+  command.announced.push_back(target);
+  return command;
+}
+
+}  // namespace
+
+TEST_SUITE("steering_commands") {
+  TEST_CASE("the highest operator version holds; an older or equal one changes nothing") {
+    SteeringState state;
+    CHECK(apply(state, settings(7, "alpha")));
+    CHECK_FALSE(apply(state, settings(7, "beta")));
+    CHECK_FALSE(apply(state, settings(6, "beta")));
+    CHECK(state.settings.version == 7);
+    CHECK(state.settings.frontends[0].pools[0].pool == "alpha");
+    CHECK(apply(state, settings(9, "beta")));
+    CHECK(state.settings.version == 9);
+  }
+
+  TEST_CASE("a frontend remembers the pools that its open flows may be at") {
+    SteeringState state;
+    apply(state, settings(1, "alpha"));
+    apply(state, settings(2, "beta"));
+    REQUIRE(state.settings.frontends.size() == 1);
+    CHECK(state.settings.frontends[0].former_pools == std::vector<std::string>{"alpha"});
+    apply(state, settings(3, "alpha"));
+    CHECK(state.settings.frontends[0].former_pools == std::vector<std::string>{"beta"});
+    SteeringSettings without = settings(4, "alpha");
+    without.frontends.clear();
+    apply(state, without);
+    apply(state, settings(5, "alpha"));
+    CHECK(state.settings.frontends[0].former_pools.empty());
+  }
+
+  TEST_CASE("a late announcement does not undo a later one") {
+    SteeringState state;
+    CHECK(apply(state, announced(announce(5, 1))));
+    CHECK(apply(state, announced(announce(5, 4, TargetPhase::kDraining))));
+    CHECK_FALSE(apply(state, announced(announce(5, 3))));
+    CHECK_FALSE(apply(state, announced(announce(5, 6))));
+    CHECK(find_target(state, 5)->phase == TargetPhase::kDraining);
+  }
+
+  TEST_CASE("an announcement that says nothing new makes no change") {
+    SteeringState state;
+    apply(state, announced(announce(5, 1)));
+    CHECK_FALSE(apply(state, announced(announce(5, 2))));
+  }
+
+  TEST_CASE("an ended target stays ended, also when its end came first") {
+    SteeringState state;
+    RegistrationCommand end;
+    end.ended = {5, 6};
+    apply(state, announced(announce(5, 1)));
+    CHECK(apply(state, end));
+    CHECK_FALSE(apply(state, announced(announce(5, 9))));
+    CHECK_FALSE(apply(state, announced(announce(6, 1))));
+    CHECK(find_target(state, 6)->phase == TargetPhase::kEnded);
+  }
+
+  TEST_CASE("a silent target that announces itself is ready again; an ended one is forgotten") {
+    SteeringState state;
+    apply(state, announced(announce(5, 1)));
+    RegistrationCommand silent;
+    silent.silent = {5};
+    CHECK(apply(state, silent));
+    CHECK(find_target(state, 5)->phase == TargetPhase::kSilent);
+    CHECK(apply(state, announced(announce(5, 2))));
+    CHECK(find_target(state, 5)->phase == TargetPhase::kReady);
+    RegistrationCommand forget;
+    forget.forgotten = {5};
+    CHECK_FALSE(apply(state, forget));
+    RegistrationCommand end;
+    end.ended = {5};
+    apply(state, end);
+    CHECK(apply(state, forget));
+    CHECK(find_target(state, 5) == nullptr);
+  }
+
+  TEST_CASE("tokens differ between targets, also where their hashes meet, and never change") {
+    SteeringState state;
+    apply(state, announced(announce(1, 1)));
+    const FlowToken first = find_target(state, 1)->token;
+    // An id whose hash has the same upper half: the multiplier is odd, so such ids exist; here the
+    // state is made to hold the token already.
+    state.targets[0].token = static_cast<FlowToken>((2 * 0x9E3779B97F4A7C15ULL) >> 32U);
+    apply(state, announced(announce(2, 1)));
+    CHECK(find_target(state, 2)->token != find_target(state, 1)->token);
+    CHECK(find_target(state, 2)->token != 0);
+    CHECK(first != 0);
+    const FlowToken kept = find_target(state, 2)->token;
+    apply(state, announced(announce(2, 5, TargetPhase::kDraining)));
+    CHECK(find_target(state, 2)->token == kept);
+  }
+
+  TEST_CASE("the control state keeps the file as submitted, also over a snapshot") {
+    ControlState state(8);
+    const SteeringCommand command{settings(3, "alpha"), "{ the file }"};
+    state.apply({1, 1, EntryType::kSteering, encode_archive(command)});
+    state.apply({1, 2, EntryType::kRegistrations, encode_archive(announced(announce(5, 1)))});
+    ControlState restored(8);
+    restored.restore(state.save());
+    CHECK(restored.steering_text() == "{ the file }");
+    CHECK(restored.fleet() == state.fleet());
+    CHECK(restored.digest() == state.digest());
+    CHECK(restored.fleet().steering.targets.size() == 1);
+  }
+
+  TEST_CASE("a node that follows the deltas has the same state") {
+    ControlState state(8);
+    FleetState node = state.fleet();
+    const SteeringCommand command{settings(3, "alpha"), "x"};
+    state.apply({1, 1, EntryType::kSteering, encode_archive(command)});
+    state.apply({1, 2, EntryType::kRegistrations, encode_archive(announced(announce(5, 1)))});
+    state.apply(
+        {1, 3, EntryType::kSteering, encode_archive(SteeringCommand{settings(4, "beta"), "y"})});
+    while (const FleetDelta* delta = state.delta_after(node.revision)) {
+      REQUIRE(apply_delta(node, *delta));
+    }
+    CHECK(node == state.fleet());
+    CHECK(fleet_digest(node) == state.digest());
+  }
+}
+
+}  // namespace gorsevalve
