Let a restarted leader stand for election at once; repeat split votes sooner

Ruled out: shorter timeouts alone (they must stay above a round trip with two slow syncs); a stalled loop of the leader (new line loop_stalled: none; the fault itself holds the leader back).

Change: the hard state says whether this replica led its term. One that did and was restarted proves by that that nobody holds a lease of that term or an earlier one, so voters of that term need not wait (VoteRequest::agreed_term, which a planned transfer uses, too). A split vote is repeated after half a timeout.

--- a/src/core/control/replica.cc
+++ b/src/core/control/replica.cc
@@ -40,6 +40,11 @@
   // A restarted replica does not know when it last heard from a leader, so it behaves as if it had
   // just heard from one: `leader_heard_at_` is now.
   reset_election_timer(now);
+  if (hard_state_.led) {
+    // It led its term itself and has just started, so nobody has a lease, and it need not wait.
+    agreed_term_ = hard_state_.term;
+    election_at_ = now + config_.timing.append_interval;
+  }
 }
 
 LogIndex Replica::last_index() const {
@@ -108,7 +113,7 @@
 
 void Replica::become_follower(Term term, Instant now) {
   if (term > hard_state_.term) {
-    hard_state_ = {term, 0};
+    hard_state_ = {term, 0, false};
     persist({hard_state_, std::nullopt, {}});
     leader_.reset();
   }
@@ -142,8 +147,9 @@
   // cut off cannot depose a leader that works.
   const bool leader_lives =
       is_leader() ? has_lease(now) : now - leader_heard_at_ < config_.timing.election_timeout;
-  const bool looks_at_vote = !leader_lives || config_.faults.vote_while_leader_lives ||
-                             (vote_request != nullptr && vote_request->leader_agrees);
+  const bool looks_at_vote =
+      !leader_lives || config_.faults.vote_while_leader_lives ||
+      (vote_request != nullptr && vote_request->agreed_term >= hard_state_.term);
   if (vote_request != nullptr && !looks_at_vote) {
     return false;
   }
--- a/src/core/control/replica.h
+++ b/src/core/control/replica.h
@@ -155,7 +155,7 @@
   [[nodiscard]] bool log_is_current(const VoteRequest& request) const;
   void become_follower(Term term, Instant now);
   void become_leader(Instant now);
-  void start_election(bool pre_vote, Instant now, bool leader_agrees = false);
+  void start_election(bool pre_vote, Instant now);
   /// Stops leading because the disk refuses writes.
   void step_down_without_disk(Instant now);
   void count_vote(bool pre_vote, Instant now);
@@ -212,6 +212,8 @@
   Instant leader_since_;
   Instant election_at_;
   bool in_pre_vote_ = false;
+  /// Highest term whose leader is known to hold no lease: see VoteRequest::agreed_term.
+  Term agreed_term_ = 0;
   std::set<ReplicaId> votes_;
   std::map<ReplicaId, Progress> progress_;
   /// Index of the first entry of the own term as leader.
--- a/src/core/control/replica_election.cc
+++ b/src/core/control/replica_election.cc
@@ -23,20 +23,20 @@
   return request.last_index >= last_index();
 }
 
-void Replica::start_election(bool pre_vote, Instant now, bool leader_agrees) {
+void Replica::start_election(bool pre_vote, Instant now) {
   const HardState before = hard_state_;
   reset_election_timer(now);
-  if (pre_vote) {
-    // A pre-vote changes nothing, so it is repeated soon: after a restart of all, voters refuse
-    // until an election timeout after their own start.
-    election_at_ -= (election_at_ - now) * 3 / 4;
-  }
+  // A pre-vote changes nothing, so it is repeated soon: after a restart of all, voters refuse until
+  // an election timeout after their own start. A split vote is repeated sooner than a lost leader
+  // is noticed, too.
+  const Duration wait = election_at_ - now;
+  election_at_ = now + (pre_vote ? wait / 4 : wait / 2);
   role_ = ReplicaRole::kCandidate;
   leader_.reset();
   in_pre_vote_ = pre_vote;
   votes_ = {config_.id};
   if (!pre_vote) {
-    hard_state_ = {hard_state_.term + 1, config_.id};
+    hard_state_ = {hard_state_.term + 1, config_.id, false};
     if (!persist({hard_state_, std::nullopt, {}})) {
       // Nobody has seen the new term, so it never was.
       hard_state_ = before;
@@ -46,7 +46,7 @@
   }
   const Term term = pre_vote ? hard_state_.term + 1 : hard_state_.term;
   const VoteRequest request{pre_vote, last_index(), term_at(last_index()), config_.address,
-                            leader_agrees};
+                            agreed_term_};
   for (const auto& replica : replicas_.replicas) {
     if (replica.voter && replica.id != config_.id) {
       send(replica.address, term, {0, 0, request});
@@ -70,6 +70,9 @@
   role_ = ReplicaRole::kLeader;
   leader_ = config_.id;
   leader_since_ = now;
+  agreed_term_ = 0;
+  hard_state_.led = true;
+  hard_state_unsaved_ = true;
   progress_.clear();
   for (const auto& replica : replicas_.replicas) {
     progress_[replica.id].next_index = last_index() + 1;
@@ -145,7 +148,8 @@
                      Instant now) {
   const bool from_leader = leader_ == message.from && message.term == hard_state_.term;
   if (from_leader && role_ == ReplicaRole::kFollower && replicas_.is_voter(config_.id)) {
-    start_election(false, now, true);
+    agreed_term_ = message.term;
+    start_election(false, now);
   }
 }
 
--- a/src/core/control/replica_messages.h
+++ b/src/core/control/replica_messages.h
@@ -18,12 +18,13 @@
   Term last_term = 0;
   /// Where the candidate listens. A voter may not have learned yet that the candidate is one.
   Endpoint address;
-  /// The leader itself asked for this election, so its lease protects nobody any more.
-  bool leader_agrees = false;
+  /// The leader of this term agrees to the election and holds no lease any more, nor does any
+  /// earlier one: it asked for the election, or it is the candidate and was restarted. 0 for none.
+  Term agreed_term = 0;
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive& pre_vote& last_index& last_term& address& leader_agrees;
+    archive& pre_vote& last_index& last_term& address& agreed_term;
   }
 };
 
--- a/src/tasks/control_task.cc
+++ b/src/tasks/control_task.cc
@@ -10,6 +10,9 @@
 namespace gorsevalve {
 namespace {
 
+/// A pause between two ticks that is worth a line in the log.
+constexpr Duration kStallLogged = std::chrono::milliseconds(120);
+
 std::string describe(const StorageError& error) { return error.message; }
 
 }  // namespace
@@ -123,6 +126,13 @@
 
 void ControlTask::on_tick() {
   const Instant now = monotonic_now();
+  if (last_tick_ != Instant{} && now - last_tick_ > kStallLogged) {
+    // A slow disk, a frozen machine, or too much work in one turn.
+    log_event(
+        LogLevel::kWarning, "loop_stalled",
+        {{"ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - last_tick_).count()}});
+  }
+  last_tick_ = now;
   node_->on_tick(now);
   answer_waiting(now);
   answer_proposals(now);
--- a/src/tasks/control_task.h
+++ b/src/tasks/control_task.h
@@ -138,6 +138,7 @@
   bool was_leader_ = false;
   bool heard_leader_ = false;
   ReplicaSet logged_replicas_;
+  Instant last_tick_;
 };
 
 }  // namespace gorsevalve
--- a/tests/unit/test_replica.cc
+++ b/tests/unit/test_replica.cc
@@ -189,7 +189,7 @@
     follower.replica->on_message({2, 3, LeadershipTransfer{}}, later);
     REQUIRE(count<VoteRequest>(follower.output.sent) == 2);
     const auto request = std::get<VoteRequest>(follower.output.sent[0].body);
-    CHECK(request.leader_agrees);
+    CHECK(request.agreed_term == 3);
     CHECK_FALSE(request.pre_vote);
     TestReplica voter;
     voter.replica->on_message({2, 3, append}, later);
@@ -205,6 +205,34 @@
     CHECK(other.output.sent.empty());
   }
 
+  TEST_CASE(
+      "a leader that was restarted need not wait, and voters of its term look past its lease") {
+    HardState led{3, 1, true};
+    TestReplica restarted(led);
+    restarted.replica->on_tick(kStart + std::chrono::milliseconds(150));
+    REQUIRE(count<VoteRequest>(restarted.output.sent) == 2);
+    const auto request = std::get<VoteRequest>(restarted.output.sent[0].body);
+    CHECK(request.pre_vote);
+    CHECK(request.agreed_term == 3);
+    // A voter that has just started, too, or that heard this leader, grants at once.
+    TestReplica voter({3, 1});
+    voter.replica->on_message({2, 4, request}, kStart);
+    REQUIRE(count<VoteReply>(voter.output.sent) == 1);
+    CHECK(std::get<VoteReply>(voter.output.sent[0].body).granted);
+    // A voter that knows a newer leader keeps its promise to that one.
+    TestReplica newer({4, 3});
+    AppendRequest append;
+    append.leader = {3, 7000};
+    newer.replica->on_message({3, 4, append}, kStart);
+    newer.output.sent.clear();
+    newer.replica->on_message({2, 5, request}, kStart + std::chrono::milliseconds(20));
+    CHECK(newer.output.sent.empty());
+    // A replica that did not lead waits.
+    TestReplica follower({3, 1});
+    follower.replica->on_tick(kStart + std::chrono::milliseconds(590));
+    CHECK(count<VoteRequest>(follower.output.sent) == 0);
+  }
+
   TEST_CASE("a follower is current while it hears its leader and has applied what that committed") {
     TestReplica test;
     const Instant later = kStart + std::chrono::seconds(2);
