Compress large messages; do not repeat an update that is under way

Ruled out: deltas (50 KB in all), heartbeats (166 KB at the busiest replica).

Change: bodies from 1 KB on go compressed by zlib (level 1; the size is bounded by what the message may hold), envelope version 2; an update is not sent again to a node within 700 ms.

--- a/src/codec/envelope.cc
+++ b/src/codec/envelope.cc
@@ -6,13 +6,16 @@
 #include <utility>
 
 #include "codec/archive.h"
+#include "codec/compression.h"
 #include "storage/secret_file.h"
 
 namespace gorsevalve {
 namespace {
 
 constexpr std::array<std::uint8_t, 3> kMagic = {'G', 'V', 'M'};
-constexpr std::uint8_t kVersion = 1;
+constexpr std::uint8_t kVersion = 2;
+/// Set in the type of a message whose body is compressed.
+constexpr std::uint8_t kCompressed = 0x80;
 constexpr std::size_t kHeaderSize = 36;
 constexpr std::size_t kCodeSize = std::tuple_size_v<MessageCode>;
 
@@ -112,6 +115,9 @@
 }
 
 Bytes Envelope::seal_body(MessageKind kind, std::uint8_t type, ByteView body) {
+  if (body.size() >= kMinCompressedBody && (type & kCompressed) == 0) {
+    return seal_body(kind, type | kCompressed, compress(body));
+  }
   Bytes out;
   out.reserve(kHeaderSize + body.size() + kCodeSize);
   out.assign(kMagic.begin(), kMagic.end());
@@ -180,7 +186,16 @@
   if (!sender.window.accept(get(sealed, 20, 8))) {
     return tl::unexpected(EnvelopeError::kReplayed);
   }
-  const ByteView body = sealed.subspan(kHeaderSize, sealed.size() - kHeaderSize - kCodeSize);
+  ByteView body = sealed.subspan(kHeaderSize, sealed.size() - kHeaderSize - kCodeSize);
+  std::optional<Bytes> plain;
+  if ((sealed[5] & kCompressed) != 0) {
+    plain = decompress(body, kMaxEnvelopeSize);
+    if (!plain) {
+      return tl::unexpected(EnvelopeError::kMalformed);
+    }
+    body = *plain;
+  }
+  const auto type = static_cast<std::uint8_t>(sealed[5] & ~kCompressed);
   const auto keep = [&](auto decoded) {
     if (decoded) {
       opened.message = std::move(*decoded);
@@ -189,11 +204,11 @@
   };
   bool decoded = false;
   if (opened.kind == MessageKind::kPeer) {
-    decoded = keep(decode_alternative<PeerMessage>(sealed[5], body));
+    decoded = keep(decode_alternative<PeerMessage>(type, body));
   } else if (opened.kind == MessageKind::kReplica) {
-    decoded = keep(decode_replica(sealed[5], body));
+    decoded = keep(decode_replica(type, body));
   } else if (opened.kind == MessageKind::kNode) {
-    decoded = keep(decode_alternative<NodeMessage>(sealed[5], body));
+    decoded = keep(decode_alternative<NodeMessage>(type, body));
   }
   if (!decoded) {
     return tl::unexpected(EnvelopeError::kMalformed);
--- a/src/codec/envelope.h
+++ b/src/codec/envelope.h
@@ -4,7 +4,8 @@
 ///   magic "GVM" | version (1) | kind (1) | type (1) | sender address (4) and port (2) |
 ///   sender incarnation (8) | sequence (8) | cluster (8) | body | code (16)
 ///
-/// Integers are big endian. The code is HMAC-SHA-256 (RFC 2104), cut to 128 bits, over all before
+/// The highest bit of the type tells that the body is compressed (compression.h). Integers are big
+/// endian. The code is HMAC-SHA-256 (RFC 2104), cut to 128 bits, over all before
 /// it.
 #pragma once
 
--- a/src/core/control/control_node.cc
+++ b/src/core/control/control_node.cc
@@ -10,6 +10,8 @@
 
 constexpr std::size_t kReportsRemembered = 16;
 constexpr Duration kNodeMemory = std::chrono::seconds(60);
+/// An update is not sent again to a node within this time.
+constexpr Duration kUpdateUnderWay = std::chrono::milliseconds(700);
 /// Pause between two looks at the silence of targets.
 constexpr Duration kConclusionInterval = std::chrono::milliseconds(500);
 
@@ -63,10 +65,21 @@
     reply.replicas.push_back(replica.address);
   }
   output_.send_node(from, reply);
-  if (heartbeat.revision != state_.fleet().revision || heartbeat.digest != state_.digest()) {
+  const Revision revision = state_.fleet().revision;
+  const bool differs = heartbeat.revision != revision || heartbeat.digest != state_.digest();
+  if (differs && !is_under_way(heartbeat, now)) {
     send_update(from, heartbeat.revision, heartbeat.digest);
+    pushed_[from] = {revision, heartbeat.member.incarnation, now};
+  } else if (!differs) {
+    pushed_[from] = {revision, heartbeat.member.incarnation, Instant{}};
   }
-  pushed_[from] = state_.fleet().revision;
+}
+
+bool ControlNode::is_under_way(const NodeHeartbeat& heartbeat, Instant now) const {
+  const auto found = pushed_.find(heartbeat.member.address);
+  return found != pushed_.end() && found->second.incarnation == heartbeat.member.incarnation &&
+         found->second.revision == state_.fleet().revision &&
+         heartbeat.revision < found->second.revision && now - found->second.at < kUpdateUnderWay;
 }
 
 void ControlNode::send_update(const Endpoint& to, Revision revision, std::uint64_t digest) {
@@ -105,9 +118,10 @@
     const NodeEntry* entry = nodes_.find(address);
     const bool local = entry != nullptr && entry->is_local &&
                        now - entry->heard_at < control_timing::kMemberTimeout;
-    if (local && pushed < revision) {
-      send_update(address, pushed, 0);
-      pushed = revision;
+    if (local && pushed.revision < revision) {
+      send_update(address, pushed.revision, 0);
+      pushed.revision = revision;
+      pushed.at = now;
     }
   }
 }
--- a/src/core/control/control_node.h
+++ b/src/core/control/control_node.h
@@ -125,6 +125,8 @@
   void handle(const Endpoint& from, const ReplicaReport& report, Instant now);
   void handle(const Endpoint& from, const ReportReply& reply, Instant now);
   void send_update(const Endpoint& to, Revision revision, std::uint64_t digest);
+  /// True when this state went to the node a moment ago and is probably still under way.
+  [[nodiscard]] bool is_under_way(const NodeHeartbeat& heartbeat, Instant now) const;
   void push_updates(Instant now);
   void report_to_leader(Instant now);
   void lead(Instant now);
@@ -141,8 +143,13 @@
   RegistrationMonitor registrations_{RegistrationTiming{}};
   Instant next_conclusion_;
   bool was_leader_ = false;
-  /// Revision up to which updates were pushed to each local node.
-  std::map<Endpoint, Revision> pushed_;
+  /// What was sent to a local node last.
+  struct Pushed {
+    Revision revision = 0;
+    std::uint64_t incarnation = 0;
+    Instant at;
+  };
+  std::map<Endpoint, Pushed> pushed_;
   Revision pushed_revision_ = 0;
   Instant next_report_;
   std::uint64_t report_sequence_ = 0;
--- a/tests/unit/test_envelope.cc
+++ b/tests/unit/test_envelope.cc
@@ -1,5 +1,7 @@
 #include <doctest/doctest.h>
 
+#include "codec/archive.h"
+#include "codec/compression.h"
 #include "codec/envelope.h"
 
 namespace gorsevalve {
@@ -61,6 +63,36 @@
     CHECK(receiver.open(restarted.seal(kMessage)).has_value());
   }
 
+  TEST_CASE("a large message is compressed, arrives whole, and damage within it is refused") {
+    Envelope sender = make_envelope("c", {kOldKey});
+    Envelope receiver = make_envelope("c", {kOldKey});
+    FleetUpdate update;
+    update.is_whole = true;
+    for (std::uint16_t port = 1; port <= 500; ++port) {
+      update.whole.steering.settings.frontends.push_back(
+          {"route", {0xC6120001, port}, {{"pool", 1}}, {}, 1000, 100});
+    }
+    const Bytes plain = encode_archive(update);
+    const Bytes sealed = sender.seal(NodeMessage(update));
+    CHECK(sealed.size() * 3 < plain.size());
+    const auto opened = receiver.open(sealed);
+    REQUIRE(opened);
+    const auto& arrived = std::get<FleetUpdate>(std::get<NodeMessage>(opened->message));
+    CHECK(arrived.whole == update.whole);
+  }
+
+  TEST_CASE("a compressed body that is damaged or claims too much is refused") {
+    const Bytes plain(5000, 7);
+    const Bytes compressed = compress(plain);
+    CHECK(decompress(compressed, plain.size()) == plain);
+    CHECK_FALSE(decompress(compressed, plain.size() - 1));
+    CHECK_FALSE(decompress(ByteView(compressed).first(3), plain.size()));
+    CHECK_FALSE(decompress(ByteView(compressed).first(compressed.size() - 5), plain.size()));
+    Bytes claims = compressed;
+    claims[3] = 0x7F;
+    CHECK_FALSE(decompress(claims, std::size_t{1} << 40U));
+  }
+
   TEST_CASE("keys rotate without a moment in which messages are refused") {
     Envelope old_node = make_envelope("c", {kOldKey});
     Envelope prepared = make_envelope("c", {kOldKey, kNewKey}, 2);
