--- a/src/programs/explain.cc
+++ b/src/programs/explain.cc
@@ -48,9 +48,9 @@
 /// Events that change what a node believes or whether it runs at all.
 bool concerns_whole_node(const std::string& event) {
   static const std::set<std::string> kEvents = {
-      "starting",       "started",        "stopping",     "stopped",       "ready",
-      "not_ready",      "replica_silent", "loop_stalled", "became_leader", "lost_leadership",
-      "leader_silent",  "storage_refuses", "log_lines_dropped"};
+      "starting",      "started",         "stopping",         "stopped",       "ready",
+      "not_ready",     "replica_silent",  "loop_stalled",     "became_leader", "lost_leadership",
+      "leader_silent", "storage_refuses", "log_lines_dropped"};
   return kEvents.contains(event);
 }
 
@@ -89,17 +89,16 @@
     }
     explained.push_back({text_of(line.fields, "time"), node, event, relation, line.text});
   }
-  std::stable_sort(
-      explained.begin(), explained.end(),
-      [](const ExplainedLine& a, const ExplainedLine& b) { return a.time < b.time; });
+  std::stable_sort(explained.begin(), explained.end(),
+                   [](const ExplainedLine& a, const ExplainedLine& b) { return a.time < b.time; });
   return explained;
 }
 
 std::string render_explanation(const std::vector<ExplainedLine>& explained) {
   std::string out;
   for (const auto& line : explained) {
-    out += line.time + " " + line.node + " " + line.event + " [" + line.relation + "] " + line.text +
-           "\n";
+    out += line.time + " " + line.node + " " + line.event + " [" + line.relation + "] " +
+           line.text + "\n";
   }
   return out;
 }
--- a/src/programs/explain.h
+++ b/src/programs/explain.h
@@ -1,5 +1,5 @@
-/// Collects from many nodes' logs the lines that tell what became of one flow, target or version, in
-/// the order of time: `gorsevalve explain ID LOGFILES...`.
+/// Collects from many nodes' logs the lines that tell what became of one flow, target or version,
+/// in the order of time: `gorsevalve explain ID LOGFILES...`.
 #pragma once
 
 #include <string>
--- a/tests/unit/test_explain.cc
+++ b/tests/unit/test_explain.cc
@@ -16,6 +16,7 @@
 
 std::vector<std::string> events_of(const std::vector<ExplainedLine>& explained) {
   std::vector<std::string> events;
+  events.reserve(explained.size());
   for (const auto& one : explained) {
     events.push_back(one.event);
   }
@@ -26,25 +27,25 @@
 
 TEST_SUITE("explain") {
   TEST_CASE("refused with nothing run: no target was left") {
-    const auto explained = explain(
-        "100.64.0.7:40001",
-        {line("05.000", "edge-1", "flow_decision",
-              R"("flow":")" + kFlow + R"(","reason":"no_target","target":0,"revision":9)"),
-         line("04.000", "core-1", "target_ended", R"("target":77)"),
-         line("05.500", "edge-1", "flow_decision",
-              R"("flow":"100.64.0.8:1>198.18.0.1:443","reason":"placed","target":5)")});
+    const auto explained =
+        explain("100.64.0.7:40001",
+                {line("05.000", "edge-1", "flow_decision",
+                      R"("flow":")" + kFlow + R"(","reason":"no_target","target":0,"revision":9)"),
+                 line("04.000", "core-1", "target_ended", R"("target":77)"),
+                 line("05.500", "edge-1", "flow_decision",
+                      R"("flow":"100.64.0.8:1>198.18.0.1:443","reason":"placed","target":5)")});
     REQUIRE(explained.size() == 1);
     CHECK(explained[0].text.find("no_target") != std::string::npos);
   }
 
   TEST_CASE("reset because its target ended: the target's end stands before the reset") {
-    const auto explained = explain(
-        kFlow, {line("09.000", "edge-2", "flow_decision",
-                     R"("flow":")" + kFlow + R"(","reason":"target_replaced","target":0)"),
-                line("01.000", "edge-1", "flow_decision",
-                     R"("flow":")" + kFlow + R"(","reason":"placed","target":77)"),
-                line("07.000", "core-1", "target_ended", R"("target":77)"),
-                line("03.000", "core-1", "target_ended", R"("target":78)")});
+    const auto explained =
+        explain(kFlow, {line("09.000", "edge-2", "flow_decision",
+                             R"("flow":")" + kFlow + R"(","reason":"target_replaced","target":0)"),
+                        line("01.000", "edge-1", "flow_decision",
+                             R"("flow":")" + kFlow + R"(","reason":"placed","target":77)"),
+                        line("07.000", "core-1", "target_ended", R"("target":77)"),
+                        line("03.000", "core-1", "target_ended", R"("target":78)")});
     CHECK(events_of(explained) ==
           std::vector<std::string>{"flow_decision", "target_ended", "flow_decision"});
     CHECK(explained[1].relation == "target of the flow");
@@ -68,8 +69,8 @@
                        line("01.000", "core-1", "steering_submitted", R"("version":12)"),
                        line("01.010", "core-1", "steering_decided", R"("version":12)"),
                        line("01.500", "core-1", "steering_submitted", R"("version":13)")});
-    CHECK(events_of(explained) == std::vector<std::string>{"steering_submitted", "steering_decided",
-                                                           "revision_in_force"});
+    CHECK(events_of(explained) ==
+          std::vector<std::string>{"steering_submitted", "steering_decided", "revision_in_force"});
   }
 }
 
--- a/tests/unit/test_log_writer.cc
+++ b/tests/unit/test_log_writer.cc
@@ -1,5 +1,4 @@
 #include <doctest/doctest.h>
-
 #include <fcntl.h>
 #include <unistd.h>
 
