Of two candidates with equal logs one gives way

Change: a replica that asks for pre-votes itself refuses that of a smaller id with the same log, and gives way to a greater one.

--- a/src/core/control/replica_election.cc
+++ b/src/core/control/replica_election.cc
@@ -1,4 +1,6 @@
 /// Elections of a replica: pre-votes, votes, becoming the leader. Source: see replica_messages.h.
+#include <algorithm>
+
 #include "core/control/replica.h"
 #include "core/control/timing.h"
 
@@ -87,7 +89,17 @@
   const bool current = log_is_current(request) || config_.faults.vote_without_log_check;
   VoteReply reply{request.pre_vote, false};
   if (request.pre_vote) {
-    reply.granted = current && message.term > hard_state_.term;
+    // Of two candidates with equal logs the one with the greater id goes on; the other one gives
+    // way, so that they do not split the vote that follows.
+    const bool competes = role_ == ReplicaRole::kCandidate && in_pre_vote_;
+    const bool equal_logs =
+        request.last_term == term_at(last_index()) && request.last_index == last_index();
+    const bool goes_on = competes && equal_logs && config_.id > message.from;
+    reply.granted = current && message.term > hard_state_.term && !goes_on;
+    if (reply.granted && !is_leader()) {
+      role_ = ReplicaRole::kFollower;
+      election_at_ = std::max(election_at_, now + config_.timing.election_timeout / 2);
+    }
     send(request.address, reply.granted ? message.term : hard_state_.term, {0, 0, reply});
     return;
   }
--- a/tests/unit/test_replica.cc
+++ b/tests/unit/test_replica.cc
@@ -134,6 +134,31 @@
     }
   }
 
+  TEST_CASE("of two candidates with equal logs one gives way, so that the vote is not split") {
+    const Instant later = kStart + std::chrono::seconds(2);
+    // Replica 1 asks for pre-votes; replica 2 does the same at the same moment.
+    TestReplica test;
+    test.replica->on_tick(later);
+    test.output.sent.clear();
+    test.replica->on_message({2, 1, VoteRequest{true, 0, 0, {2, 7000}}}, later);
+    REQUIRE(count<VoteReply>(test.output.sent) == 1);
+    CHECK(std::get<VoteReply>(test.output.sent[0].body).granted);
+    // It gave way: a pre-vote for itself that comes now makes no election of its own.
+    test.output.sent.clear();
+    test.replica->on_message({2, 1, VoteReply{true, true}}, later);
+    CHECK(count<VoteRequest>(test.output.sent) == 0);
+    CHECK(test.replica->term() == 0);
+    // The candidate with the greater id does not give way, unless the other one has more of the
+    // log.
+    TestReplica greater;
+    greater.replica->on_tick(later);
+    greater.output.sent.clear();
+    greater.replica->on_message({0, 1, VoteRequest{true, 0, 0, {2, 7000}}}, later);
+    CHECK_FALSE(std::get<VoteReply>(greater.output.sent[0].body).granted);
+    greater.replica->on_message({0, 1, VoteRequest{true, 5, 1, {2, 7000}}}, later);
+    CHECK(std::get<VoteReply>(greater.output.sent[1].body).granted);
+  }
+
   TEST_CASE("one vote a term, and it survives in the hard state only") {
     TestReplica test;
     const Instant later = kStart + std::chrono::seconds(2);
