--- a/src/core/steering/flow_steering.h
+++ b/src/core/steering/flow_steering.h
@@ -61,7 +61,6 @@
 
 /// Deliberate faults, for the test that shows that the checkers can fail. All off in programs.
 struct SteeringFaults {
-  bool place_on_leaving = false;
   bool ignore_token = false;
   bool accept_foreign_tokens = false;
 };
--- /dev/null
+++ b/tests/sim/test_steering_workload.cc
@@ -0,0 +1,246 @@
+/// A seeded workload over several balancers that steer by reflected tokens: targets come, drain,
+/// end and give their addresses to others, settings change, each balancer has each revision after a
+/// delay of its own, and every packet of a flow may meet any balancer. Checked after each packet:
+/// an open flow never moves, no packet reaches a pool that its frontend never had, a target that a
+/// balancer knows as leaving gets no new flow from it, and a flow of a living target is reset only
+/// when its frontend was dropped.
+#include <doctest/doctest.h>
+
+#include <map>
+#include <random>
+#include <set>
+
+#include "core/control/steering_commands.h"
+#include "core/steering/flow_steering.h"
+
+namespace gorsevalve {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Instant kStart{std::chrono::seconds(1000)};
+constexpr std::size_t kBalancers = 4;
+constexpr int kSteps = 3000;
+constexpr Endpoint kFirst{0xC6120001, 443};
+constexpr Endpoint kSecond{0xC6120002, 443};
+
+struct OpenFlow {
+  SteeredFlow flow;
+  TargetId target = 0;
+  FlowToken token = 0;
+};
+
+class Workload {
+ public:
+  Workload(std::uint64_t seed, const SteeringFaults& faults) : random_(seed) {
+    for (std::size_t i = 0; i < kBalancers; ++i) {
+      balancers_.emplace_back(seed + i);
+      balancers_.back().set_faults(faults);
+      held_.push_back(0);
+    }
+    submit();
+    for (int i = 0; i < 8; ++i) {
+      announce_new(i % 3 == 0 ? "beta" : "alpha");
+    }
+    for (std::size_t i = 0; i < kBalancers; ++i) {
+      catch_up(i, history_.size());
+    }
+  }
+
+  /// Runs all steps; gives the first violation, or nothing.
+  std::string run() {
+    for (int step = 0; step < kSteps && violation_.empty(); ++step) {
+      now_ += milliseconds(5);
+      const std::uint64_t choice = random_() % 100;
+      if (choice < 2) {
+        submit();
+      } else if (choice < 5) {
+        change_target();
+      } else if (choice < 25) {
+        const std::size_t i = random_() % kBalancers;
+        catch_up(i, held_[i] + 1 + random_() % (history_.size() - held_[i] + 1));
+      } else if (choice < 45) {
+        open_flow();
+      } else if (!flows_.empty()) {
+        send_packet();
+      }
+    }
+    return violation_;
+  }
+
+ private:
+  void record(const std::optional<SteeringDelta>& delta) {
+    if (!delta) {
+      return;
+    }
+    apply_steering_delta(state_, *delta);
+    history_.push_back(state_);
+    for (const auto& frontend : state_.settings.frontends) {
+      for (const auto& part : frontend.pools) {
+        ever_reached_.insert({frontend.address, part.pool});
+      }
+    }
+  }
+
+  void submit() {
+    SteeringSettings settings;
+    settings.version = ++version_;
+    settings.idle_timeout_ms = 60000;
+    settings.pools = {{"alpha", 9}, {"beta", 9}};
+    settings.frontends.push_back(
+        {"first",
+         kFirst,
+         {{"alpha", 90}, {"beta", static_cast<std::uint32_t>(random_() % 2 * 10)}},
+         {},
+         1000,
+         100});
+    if (random_() % 4 != 0) {
+      settings.frontends.push_back({"second", kSecond, {{"beta", 1}}, {}, 1000, 100});
+    }
+    record(steering_delta(state_, settings));
+  }
+
+  void announce_new(const std::string& pool) {
+    RegistrationCommand command;
+    RegisteredTarget target;
+    target.id = ++last_id_;
+    target.pool = pool;
+    target.address = {10, static_cast<std::uint16_t>(8000 + last_id_)};
+    if (!free_addresses_.empty()) {
+      target.address = free_addresses_.back();
+      free_addresses_.pop_back();
+    }
+    target.sequence = 1;
+    command.announced.push_back(target);
+    living_.insert(target.id);
+    record(steering_delta(state_, command));
+  }
+
+  void change_target() {
+    const RegisteredTarget target = state_.targets[random_() % state_.targets.size()];
+    if (!living_.contains(target.id)) {
+      announce_new(random_() % 2 == 0 ? "alpha" : "beta");
+      return;
+    }
+    RegistrationCommand command;
+    if (target.phase == TargetPhase::kDraining) {
+      command.ended.push_back(target.id);
+      living_.erase(target.id);
+      free_addresses_.push_back(target.address);
+    } else if (living_.size() > 4) {
+      RegisteredTarget draining = target;
+      draining.phase = TargetPhase::kDraining;
+      draining.sequence = target.sequence + 1;
+      command.announced.push_back(draining);
+    }
+    record(steering_delta(state_, command));
+  }
+
+  void catch_up(std::size_t i, std::size_t revision) {
+    const std::size_t to = std::min(revision, history_.size());
+    if (to > held_[i]) {
+      held_[i] = to;
+      balancers_[i].adopt(history_[to - 1], now_);
+    }
+  }
+
+  void open_flow() {
+    const std::size_t i = random_() % kBalancers;
+    CallerPacket packet;
+    packet.flow = {{0x64400000 + ++last_caller_, 1}, random_() % 3 == 0 ? kSecond : kFirst};
+    packet.opens = true;
+    const SteeringDecision decision = balancers_[i].on_packet(packet, now_);
+    if (decision.action != SteeringAction::kForward) {
+      return;
+    }
+    check_reach(packet, *decision.target);
+    const RegisteredTarget* known = find_target(history_[held_[i] - 1], decision.target->id);
+    if (known == nullptr || known->phase >= TargetPhase::kDraining) {
+      violation_ = "a leaving target got a new flow";
+    }
+    if (living_.contains(decision.target->id)) {
+      flows_.push_back({packet.flow, decision.target->id, decision.target->token});
+    }
+  }
+
+  void send_packet() {
+    const OpenFlow& flow = flows_[random_() % flows_.size()];
+    CallerPacket packet;
+    packet.flow = flow.flow;
+    packet.token = flow.token;
+    packet.acknowledged = static_cast<std::uint32_t>(random_());
+    packet.data_size = random_() % 2 * 100;
+    const std::size_t i = random_() % kBalancers;
+    const SteeringDecision decision = balancers_[i].on_packet(packet, now_);
+    if (decision.action == SteeringAction::kForward) {
+      check_reach(packet, *decision.target);
+      if (decision.target->id != flow.target) {
+        violation_ = "an open flow moved";
+      }
+    }
+    const bool dropped = decision.reason == SteeringReason::kFrontendDropped;
+    if (decision.action == SteeringAction::kReset && living_.contains(flow.target) && !dropped) {
+      violation_ = "a flow of a living target was reset";
+    }
+    // A caller may send any token it likes.
+    packet.token = state_.targets[random_() % state_.targets.size()].token;
+    const SteeringDecision forged = balancers_[i].on_packet(packet, now_);
+    if (forged.action == SteeringAction::kForward) {
+      check_reach(packet, *forged.target);
+    }
+  }
+
+  void check_reach(const CallerPacket& packet, const RegisteredTarget& target) {
+    if (!ever_reached_.contains({packet.flow.frontend, target.pool})) {
+      violation_ = "a packet reached a pool that its frontend never had";
+    }
+  }
+
+  std::mt19937_64 random_;
+  Instant now_ = kStart;
+  OperatorVersion version_ = 0;
+  TargetId last_id_ = 0;
+  std::uint32_t last_caller_ = 0;
+  SteeringState state_;
+  std::vector<SteeringState> history_;
+  std::vector<FlowSteering> balancers_;
+  /// Revisions that each balancer has.
+  std::vector<std::size_t> held_;
+  std::set<TargetId> living_;
+  std::vector<Endpoint> free_addresses_;
+  std::vector<OpenFlow> flows_;
+  std::set<std::pair<Endpoint, std::string>> ever_reached_;
+  std::string violation_;
+};
+
+/// True when one of some seeds shows the fault.
+bool is_caught(const SteeringFaults& faults) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    if (!Workload(seed, faults).run().empty()) {
+      return true;
+    }
+  }
+  return false;
+}
+
+}  // namespace
+
+TEST_SUITE("steering_workload") {
+  TEST_CASE("the invariants hold over many seeds") {
+    for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+      const std::string violation = Workload(seed, {}).run();
+      CHECK_MESSAGE(violation.empty(), "seed " << seed << ": " << violation);
+    }
+  }
+
+  TEST_CASE("each deliberate fault is caught") {
+    SteeringFaults ignore_token;
+    ignore_token.ignore_token = true;
+    CHECK(is_caught(ignore_token));
+    SteeringFaults foreign;
+    foreign.accept_foreign_tokens = true;
+    CHECK(is_caught(foreign));
+  }
+}
+
+}  // namespace gorsevalve
