Ask all control replicas at once while a balancer searches for one; dial again soon

Ruled out: the election (leader at 37.75 s, states at 38.17 s), the packets held (they were there), the router (it uses all nodes where all are out).

Change: ReplicaChoice replaces the rotation of ControlClient, for members and observers. While it searches, all replicas are asked; one of them (the home, by rendezvous hashing) also tells of commits, the others only answer, so a start does not fetch the whole state several times. The first that is current is chosen; later the home is asked whether it is current, so nodes spread evenly again. Connections: another attempt begins after 150 ms while earlier ones go on for 0.9 s. ControlClient::current_at, which nothing read, is gone.

--- a/src/core/balancer/control_client.cc
+++ b/src/core/balancer/control_client.cc
@@ -8,72 +8,37 @@
 namespace gorsevalve {
 namespace {
 
-constexpr std::size_t kHeartbeatsRemembered = 16;
+constexpr std::size_t kHeartbeatsRemembered = 64;
+/// Pause between two questions to the replica that this process should be at, while it is at
+/// another one.
+constexpr Duration kHomeProbeInterval = std::chrono::seconds(5);
 /// A process that is not admitted for this long was perhaps admitted and removed before it heard of
 /// it; under its present incarnation it would never be admitted again.
 constexpr Duration kAdmissionTimeout = std::chrono::seconds(20);
 
 }  // namespace
 
-ControlClient::ControlClient(Member self, std::vector<Endpoint> replicas, FleetState stored,
+ControlClient::ControlClient(const Member& self, std::vector<Endpoint> replicas, FleetState stored,
                              ControlClientOutput& output)
-    : self_(std::move(self)),
-      replicas_(std::move(replicas)),
+    : self_(self),
+      choice_(self.address, std::move(replicas)),
       output_(output),
       fleet_(std::move(stored)),
-      digest_(fleet_digest(fleet_)) {
-  seeds_ = replicas_;
-  // Nodes spread over the replicas by their address.
-  replica_ = replicas_.empty() ? 0 : packed(self_.address) % replicas_.size();
-}
+      digest_(fleet_digest(fleet_)) {}
 
 void ControlClient::on_message(const Endpoint& from, const NodeMessage& message, Instant now) {
-  // Only the replica that is asked now counts as heard: one that answers late is not waited for.
-  const bool is_observer = self_.state == MemberState::kObserver;
-  if (!is_observer || (!replicas_.empty() && from == replicas_[replica_])) {
+  // Only the chosen replica counts as heard: another one that answers late is not waited for.
+  if (!choice_.is_searching() && from == choice_.chosen()) {
     last_heard_ = now;
   }
   if (const auto* reply = std::get_if<HeartbeatReply>(&message)) {
-    on_reply(*reply, now);
+    on_reply(from, *reply, now);
   } else if (const auto* update = std::get_if<FleetUpdate>(&message)) {
     on_update(*update, now);
   }
 }
 
-void ControlClient::take_replicas(const std::vector<Endpoint>& replicas) {
-  if (replicas.empty() || replicas == replicas_) {
-    return;
-  }
-  const Endpoint present = replicas_[replica_];
-  replicas_ = replicas;
-  const auto found = std::find(replicas_.begin(), replicas_.end(), present);
-  replica_ = found == replicas_.end() ? 0 : static_cast<std::size_t>(found - replicas_.begin());
-}
-
-void ControlClient::set_seeds(const std::vector<Endpoint>& seeds) {
-  if (seeds == seeds_ || seeds.empty()) {
-    return;
-  }
-  seeds_ = seeds;
-  for (const auto& seed : seeds) {
-    if (std::find(replicas_.begin(), replicas_.end(), seed) == replicas_.end()) {
-      replicas_.push_back(seed);
-    }
-  }
-}
-
-void ControlClient::next_replica(Instant now) {
-  replica_ = (replica_ + 1) % replicas_.size();
-  if (replica_ == 0) {
-    // All were asked in vain: the seeds may name others.
-    const std::vector<Endpoint> seeds = std::exchange(seeds_, {});
-    set_seeds(seeds);
-  }
-  last_heard_ = now;
-  next_heartbeat_ = now;
-}
-
-void ControlClient::on_reply(const HeartbeatReply& reply, Instant now) {
+void ControlClient::on_reply(const Endpoint& from, const HeartbeatReply& reply, Instant now) {
   const auto sent = heartbeats_sent_.find(reply.sequence);
   if (sent == heartbeats_sent_.end()) {
     return;
@@ -82,20 +47,33 @@
   lease_until_ = std::max(lease_until_, until);
   output_.on_lease(lease_until_);
   may_stop_ = may_stop_ || (reply.may_stop && self_.state == MemberState::kLeaving);
-  if (reply.is_current && fleet_.revision >= reply.revision) {
-    has_been_current_ = true;
-    current_at_ = std::max(current_at_, sent->second);
-  }
-  if (self_.state != MemberState::kObserver) {
+  has_been_current_ = has_been_current_ || (reply.is_current && fleet_.revision >= reply.revision);
+  judge_replica(from, reply, now);
+}
+
+void ControlClient::judge_replica(const Endpoint& from, const HeartbeatReply& reply, Instant now) {
+  const bool was_searching = choice_.is_searching();
+  if (!reply.is_current) {
+    // This replica may be cut off from the others: all are asked, not sooner than usual.
+    if (!was_searching && from == choice_.chosen() && is_observer()) {
+      choice_.begin_search();
+    }
+    // What it holds is better than nothing, or than what is older.
+    if (was_searching && reply.revision > fleet_.revision) {
+      send_heartbeat(from, true, now);
+    }
     return;
   }
-  if (reply.is_current) {
-    take_replicas(reply.replicas);
-  } else {
-    // This replica may be cut off from the others: ask the next one, not sooner than usual.
-    const Instant next = next_heartbeat_;
-    next_replica(now);
-    next_heartbeat_ = next;
+  if (was_searching || from == choice_.home()) {
+    choice_.choose(from);
+    last_heard_ = now;
+  }
+  if (was_searching) {
+    // From now on this replica tells of changes.
+    send_heartbeat(from, true, now);
+  }
+  if (from == choice_.chosen()) {
+    choice_.take_replicas(reply.replicas);
   }
 }
 
@@ -146,13 +124,12 @@
     output_.on_expelled(now);
   }
   output_.on_fleet(fleet_, now);
-  if (self_.state == MemberState::kObserver && !has_been_current_) {
-    // Only a heartbeat with this state shows whether it is the newest.
-    send_heartbeat(0, now);
-  }
-  if (is_member(fleet_) && lease_until_ <= now) {
-    // A new member has no lease yet: it asks at once.
-    send_heartbeat(0, now);
+  const bool is_new_member = is_member(fleet_) && lease_until_ <= now;
+  if (is_new_member || (is_observer() && !has_been_current_)) {
+    // A new member has no lease yet, and an observer learns only from the reply to a heartbeat with
+    // this state whether it is the newest: they ask at once.
+    settled_revision_ = 0;
+    send_heartbeats(now);
   }
 }
 
@@ -163,18 +140,34 @@
   heartbeats_sent_.clear();
 }
 
-void ControlClient::send_heartbeat(Revision settled_revision, Instant now) {
+void ControlClient::send_heartbeat(const Endpoint& replica, bool wants_update, Instant now) {
   NodeHeartbeat heartbeat;
   heartbeat.sequence = ++sequence_;
   heartbeat.member = self_;
   heartbeat.revision = fleet_.revision;
   heartbeat.digest = digest_;
-  heartbeat.settled_revision = settled_revision;
+  heartbeat.settled_revision = settled_revision_;
+  heartbeat.wants_update = wants_update;
   heartbeats_sent_[heartbeat.sequence] = now;
   if (heartbeats_sent_.size() > kHeartbeatsRemembered) {
     heartbeats_sent_.erase(heartbeats_sent_.begin());
   }
-  output_.send_control(replicas_[replica_], heartbeat);
+  output_.send_control(replica, heartbeat);
+}
+
+void ControlClient::send_heartbeats(Instant now) {
+  if (choice_.is_searching()) {
+    // One of them tells of what it commits from now on; all of them would send the same state.
+    for (const auto& replica : choice_.candidates()) {
+      send_heartbeat(replica, replica == choice_.home(), now);
+    }
+    return;
+  }
+  send_heartbeat(choice_.chosen(), true, now);
+  if (now >= next_home_probe_ && choice_.home() != choice_.chosen()) {
+    next_home_probe_ = now + kHomeProbeInterval;
+    send_heartbeat(choice_.home(), false, now);
+  }
 }
 
 void ControlClient::check_admission(Instant now) {
@@ -192,24 +185,23 @@
 }
 
 void ControlClient::on_tick(Revision settled_revision, Instant now) {
-  if (replicas_.empty()) {
+  if (choice_.candidates().empty()) {
     return;
   }
   check_admission(now);
-  if (sequence_ == 0) {
-    last_heard_ = now;
-  }
-  if (now - last_heard_ > timing_.replica_timeout) {
-    output_.on_replica_silent(replicas_[replica_]);
-    next_replica(now);
+  if (!choice_.is_searching() && now - last_heard_ > timing_.replica_timeout) {
+    output_.on_replica_silent(choice_.chosen());
+    choice_.begin_search();
+    next_heartbeat_ = now;
   }
   // Progress is told at once, so that a change that waits for it goes on.
   const bool progress = settled_revision != reported_settled_ && settled_revision != 0;
   if (now >= next_heartbeat_ || progress) {
-    const bool is_starting = self_.state == MemberState::kObserver && !has_been_current_;
+    const bool is_starting = is_observer() && !has_been_current_;
     next_heartbeat_ = now + (is_starting ? timing_.starting_interval : timing_.heartbeat_interval);
+    settled_revision_ = settled_revision;
     reported_settled_ = settled_revision;
-    send_heartbeat(settled_revision, now);
+    send_heartbeats(now);
   }
 }
 
--- a/src/core/balancer/control_client.h
+++ b/src/core/balancer/control_client.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <vector>
 
+#include "core/balancer/replica_choice.h"
 #include "core/control/node_messages.h"
 #include "model/fleet.h"
 #include "model/time.h"
@@ -23,14 +24,14 @@
   /// This process was removed from the members although it runs: others have taken over what it
   /// owned. It must drop its state and call `rejoin` with a new incarnation.
   virtual void on_expelled(Instant now) = 0;
-  /// The present replica does not answer: connections to it are of no use.
+  /// The chosen replica does not answer: connections to it are of no use.
   virtual void on_replica_silent(const Endpoint& /*replica*/) {}
 };
 
 /// How often a balancer reports, and how long it waits for a replica.
 struct ControlClientTiming {
   Duration heartbeat_interval = std::chrono::milliseconds(1000);
-  /// A replica that is silent for this long is left for the next one.
+  /// When the chosen replica is silent for this long, all are asked.
   Duration replica_timeout = std::chrono::milliseconds(1500);
   /// Pause between heartbeats of an observer until its state is confirmed as the newest.
   Duration starting_interval = std::chrono::milliseconds(1000);
@@ -44,7 +45,7 @@
 class ControlClient {
  public:
   /// `stored` is the fleet state that was kept over a restart, or an empty one.
-  ControlClient(Member self, std::vector<Endpoint> replicas, FleetState stored,
+  ControlClient(const Member& self, std::vector<Endpoint> replicas, FleetState stored,
                 ControlClientOutput& output);
 
   void on_message(const Endpoint& from, const NodeMessage& message, Instant now);
@@ -63,44 +64,46 @@
   [[nodiscard]] const FleetState& fleet() const { return fleet_; }
   /// True once a replica that holds the newest committed state confirmed this one.
   [[nodiscard]] bool has_been_current() const { return has_been_current_; }
-  /// When such a confirmed heartbeat was sent last.
-  [[nodiscard]] Instant current_at() const { return current_at_; }
 
   void set_timing(const ControlClientTiming& timing) { timing_ = timing; }
-  /// Takes other addresses to ask, unless replicas have told theirs.
-  void set_seeds(const std::vector<Endpoint>& seeds);
+  /// Takes other addresses to ask, beside those that replicas have told.
+  void set_seeds(const std::vector<Endpoint>& seeds) { choice_.set_seeds(seeds); }
 
  private:
   void on_update(const FleetUpdate& update, Instant now);
   /// `digest` is that of `next`: it is costly at scale, so it is worked out once.
   void adopt(FleetState next, std::uint64_t digest, Instant now);
   [[nodiscard]] bool is_member(const FleetState& fleet) const;
-  void on_reply(const HeartbeatReply& reply, Instant now);
-  void send_heartbeat(Revision settled_revision, Instant now);
-  void take_replicas(const std::vector<Endpoint>& replicas);
-  void next_replica(Instant now);
+  void on_reply(const Endpoint& from, const HeartbeatReply& reply, Instant now);
+  /// Finds or keeps a replica by what one has answered.
+  void judge_replica(const Endpoint& from, const HeartbeatReply& reply, Instant now);
+  /// Reports to the chosen replica, or asks all of them while there is none.
+  void send_heartbeats(Instant now);
+  void send_heartbeat(const Endpoint& replica, bool wants_update, Instant now);
+  [[nodiscard]] bool is_observer() const { return self_.state == MemberState::kObserver; }
   /// Rejoins as another member when admission does not come.
   void check_admission(Instant now);
 
   Member self_;
-  std::vector<Endpoint> replicas_;
+  ReplicaChoice choice_;
   ControlClientOutput& output_;
   ControlClientFaults faults_;
   FleetState fleet_;
   std::uint64_t digest_ = 0;
-  std::size_t replica_ = 0;
   std::uint64_t sequence_ = 0;
   std::map<std::uint64_t, Instant> heartbeats_sent_;
   Instant next_heartbeat_;
+  /// When the chosen replica answered last.
   Instant last_heard_;
+  Instant next_home_probe_;
   Instant lease_until_;
   bool may_stop_ = false;
   ControlClientTiming timing_;
-  std::vector<Endpoint> seeds_;
   /// Since when this process, which wants to be a member, has been none.
   std::optional<Instant> outside_since_;
   bool has_been_current_ = false;
-  Instant current_at_;
+  /// As the balancer told it last.
+  Revision settled_revision_ = 0;
   Revision reported_settled_ = 0;
 };
 
--- a/src/core/control/control_node.cc
+++ b/src/core/control/control_node.cc
@@ -66,6 +66,9 @@
     reply.replicas.push_back(replica.address);
   }
   output_.send_node(from, reply);
+  if (!heartbeat.wants_update) {
+    return;
+  }
   const Revision revision = state_.fleet().revision;
   const bool differs = heartbeat.revision != revision || heartbeat.digest != state_.digest();
   if (differs && !is_under_way(heartbeat, now)) {
--- a/src/core/control/node_messages.h
+++ b/src/core/control/node_messages.h
@@ -11,7 +11,8 @@
 
 namespace gorsevalve {
 
-/// What a balancer says of itself, once per kHeartbeatInterval.
+/// What a balancer says of itself, once per kHeartbeatInterval to the replica that it has chosen,
+/// and to all while it searches for one.
 struct NodeHeartbeat {
   std::uint64_t sequence = 0;
   Member member;
@@ -20,10 +21,12 @@
   std::uint64_t digest = 0;
   /// Membership revision whose handovers it finished; 0 while one is under way.
   Revision settled_revision = 0;
+  /// False when only the reply is wanted, and no update.
+  bool wants_update = true;
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive& sequence& member& revision& digest& settled_revision;
+    archive& sequence& member& revision& digest& settled_revision& wants_update;
   }
 };
 
--- /dev/null
+++ b/src/tasks/dial_attempts.h
@@ -0,0 +1,20 @@
+/// When to begin another attempt to connect to a peer, and when to give one up. A machine that had
+/// no power when the kernel sent the opening packet answers the kernel's copy only, a second or
+/// more later; so another attempt begins soon, while earlier ones go on, for peers that are far
+/// away.
+#pragma once
+
+#include "model/time.h"
+
+namespace gorsevalve::dialling {
+
+/// Another attempt begins when the last one has taken this long.
+constexpr Duration kAgainAfter = std::chrono::milliseconds(150);
+/// An attempt is given up after this time.
+constexpr Duration kGivenUpAfter = std::chrono::milliseconds(900);
+
+/// True when an attempt that began at `began` should not be waited for alone any more.
+constexpr bool wants_another(Instant began, Instant now) { return now - began >= kAgainAfter; }
+constexpr bool is_given_up(Instant began, Instant now) { return now - began >= kGivenUpAfter; }
+
+}  // namespace gorsevalve::dialling
--- a/src/tasks/frame_network.cc
+++ b/src/tasks/frame_network.cc
@@ -9,8 +9,11 @@
 #include <cerrno>
 #include <cstring>
 #include <deque>
+#include <iterator>
+#include <utility>
 
 #include "codec/envelope.h"
+#include "tasks/dial_attempts.h"
 #include "tasks/socket_address.h"
 
 namespace gorsevalve {
@@ -46,6 +49,8 @@
   FrameNetwork* network = nullptr;
   h2o_socket_t* socket = nullptr;
   bool connected = false;
+  /// When the attempt to connect began.
+  Instant dialled_at;
   std::optional<Endpoint> peer;
   std::deque<Bytes> waiting;
   std::size_t waiting_size = 0;
@@ -121,6 +126,7 @@
   }
   Connection* connection = adopt(socket);
   connection->peer = to;
+  connection->dialled_at = monotonic_now();
   by_peer_[to] = connection;
 }
 
@@ -130,6 +136,7 @@
     return;
   }
   connection.connected = true;
+  take_over(connection);
   h2o_socket_read_start(connection.socket, [](h2o_socket_t* socket, const char* read_error) {
     auto* found = static_cast<Connection*>(socket->data);
     found->network->on_read(*found, read_error);
@@ -196,6 +203,10 @@
     return nullptr;
   }
   Connection& connection = *found->second;
+  if (!connection.connected && dialling::wants_another(connection.dialled_at, now)) {
+    give_up_attempts(to, now);
+    return nullptr;
+  }
   if (connection.unanswered_since && now - *connection.unanswered_since > kSilentAfter) {
     close(connection);
     return nullptr;
@@ -203,6 +214,34 @@
   return &connection;
 }
 
+void FrameNetwork::give_up_attempts(const Endpoint& to, Instant now) {
+  std::vector<Connection*> expired;
+  for (const auto& connection : connections_) {
+    const bool is_attempt = !connection->connected && connection->peer == to;
+    if (is_attempt && dialling::is_given_up(connection->dialled_at, now)) {
+      expired.push_back(connection.get());
+    }
+  }
+  for (Connection* connection : expired) {
+    close(*connection);
+  }
+}
+
+void FrameNetwork::take_over(Connection& connection) {
+  Connection*& present = by_peer_[*connection.peer];
+  if (present != nullptr && present != &connection && !present->connected) {
+    // What waits there is later than what waits here.
+    std::move(present->waiting.begin(), present->waiting.end(),
+              std::back_inserter(connection.waiting));
+    connection.waiting_size += present->waiting_size;
+    Connection* later = std::exchange(present, &connection);
+    close(*later);
+  }
+  if (present == nullptr) {
+    present = &connection;
+  }
+}
+
 void FrameNetwork::drop(const Endpoint& peer) {
   const auto found = by_peer_.find(peer);
   if (found != by_peer_.end()) {
--- a/src/tasks/frame_network.h
+++ b/src/tasks/frame_network.h
@@ -48,14 +48,19 @@
   void on_read(Connection& connection, const char* error);
   void write_next(Connection& connection);
   void close(Connection& connection);
-  /// The connection to a peer; one that has been silent for too long is closed first.
+  /// The connection to a peer, or the latest attempt; nullptr when there is none that is worth
+  /// waiting for. One that has been silent for too long is closed.
   Connection* find_live(const Endpoint& to, Instant now);
+  void give_up_attempts(const Endpoint& to, Instant now);
+  /// An earlier attempt came through: it takes over from a later one.
+  void take_over(Connection& connection);
   [[nodiscard]] bool take_frames(Connection& connection);
 
   EventLoop& loop_;
   Receiver receiver_;
   h2o_socket_t* listener_ = nullptr;
   std::list<std::unique_ptr<Connection>> connections_;
+  /// The connection, or the latest attempt to connect, of each peer.
   std::map<Endpoint, Connection*> by_peer_;
 };
 
--- a/tests/unit/test_control_client.cc
+++ b/tests/unit/test_control_client.cc
@@ -1,18 +1,26 @@
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <map>
+
 #include "core/balancer/control_client.h"
 
 namespace gorsevalve {
 namespace {
 
+using std::chrono::milliseconds;
+
 constexpr Endpoint kReplica{0x0A00C801, 7000};
+constexpr Endpoint kOther{0x0A00C802, 7000};
+constexpr Endpoint kThird{0x0A00C803, 7000};
 constexpr Instant kStart{std::chrono::seconds(1000)};
 
 class RecordingOutput : public ControlClientOutput {
  public:
-  void send_control(const Endpoint& /*replica*/, const NodeMessage& message) override {
+  void send_control(const Endpoint& replica, const NodeMessage& message) override {
     if (const auto* heartbeat = std::get_if<NodeHeartbeat>(&message)) {
       heartbeats.push_back(*heartbeat);
+      asked.push_back(replica);
     }
   }
   void on_fleet(const FleetState& fleet, Instant /*now*/) override {
@@ -20,11 +28,15 @@
   }
   void on_lease(Instant until) override { lease = until; }
   void on_expelled(Instant /*now*/) override { ++expelled; }
+  void on_replica_silent(const Endpoint& /*replica*/) override { ++silent; }
 
   std::vector<NodeHeartbeat> heartbeats;
+  /// Where each heartbeat went.
+  std::vector<Endpoint> asked;
   std::vector<Revision> revisions;
   Instant lease;
   int expelled = 0;
+  int silent = 0;
 };
 
 Member make_self() { return {"b", "z", {0x0A00C901, 6000}, 42, MemberState::kActive}; }
@@ -59,6 +71,26 @@
   ControlClient client{make_self(), {kReplica}, {}, output};
 };
 
+/// A client that is no member, with short pauses.
+struct Observer {
+  explicit Observer(std::vector<Endpoint> replicas, std::uint16_t port = 6000)
+      : client({"b", "z", {0x0A00C901, port}, 42, MemberState::kObserver}, std::move(replicas), {},
+               output) {
+    client.set_timing({milliseconds(500), milliseconds(800), milliseconds(100)});
+  }
+
+  RecordingOutput output;
+  ControlClient client;
+};
+
+HeartbeatReply current_reply(const NodeHeartbeat& heartbeat, Revision revision) {
+  HeartbeatReply reply;
+  reply.sequence = heartbeat.sequence;
+  reply.is_current = true;
+  reply.revision = revision;
+  return reply;
+}
+
 }  // namespace
 
 TEST_SUITE("control_client") {
@@ -145,72 +177,112 @@
     CHECK(test.output.expelled == 1);
   }
 
-  TEST_CASE("an observer leaves a replica that is not current, and asks often until one is") {
-    constexpr Endpoint kOther{0x0A00C802, 7000};
-    RecordingOutput output;
-    Member self = make_self();
-    self.state = MemberState::kObserver;
-    ControlClient client{self, {kReplica, kOther}, {}, output};
-    client.set_timing({std::chrono::milliseconds(500), std::chrono::milliseconds(800),
-                       std::chrono::milliseconds(100)});
-    client.on_tick(0, kStart);
-    REQUIRE(output.heartbeats.size() == 1);
-    HeartbeatReply stale;
-    stale.sequence = 1;
-    for (const Endpoint& replica : {kReplica, kOther}) {
-      client.on_message(replica, stale, kStart + std::chrono::milliseconds(5));
-    }
-    CHECK_FALSE(client.has_been_current());
-    client.on_tick(0, kStart + std::chrono::milliseconds(110));
-    REQUIRE(output.heartbeats.size() == 2);
-    HeartbeatReply current;
-    current.sequence = 2;
-    current.is_current = true;
-    current.revision = 3;
-    client.on_message(kOther, current, kStart + std::chrono::milliseconds(115));
-    // The replica holds more than this node has: not confirmed yet.
-    CHECK_FALSE(client.has_been_current());
+  TEST_CASE("a starting observer asks all replicas at once, and often, until one is current") {
+    // On days when all machines lost power, the replica that a balancer asked first was still dark,
+    // and the others were asked 0.8 s later only.
+    Observer test{{kReplica, kOther, kThird}};
+    test.client.on_tick(0, kStart);
+    CHECK(test.output.asked == std::vector<Endpoint>{kReplica, kOther, kThird});
+    // One of them is to tell of what it commits meanwhile; from all it would be too much.
+    const auto wanted = std::count_if(test.output.heartbeats.begin(), test.output.heartbeats.end(),
+                                      [](const auto& sent) { return sent.wants_update; });
+    CHECK(wanted == 1);
+    test.client.on_tick(0, kStart + milliseconds(110));
+    CHECK(test.output.asked.size() == 6);
+    // The one that is current gets the next heartbeats, and sends its state.
+    test.client.on_message(kOther, current_reply(test.output.heartbeats[4], 3),
+                           kStart + milliseconds(115));
+    REQUIRE(test.output.asked.size() == 7);
+    CHECK(test.output.asked.back() == kOther);
+    CHECK(test.output.heartbeats.back().wants_update);
+    // It holds more than this node has: not confirmed yet.
+    CHECK_FALSE(test.client.has_been_current());
     FleetState state;
     state.revision = 3;
-    client.on_message(kOther, whole(state), kStart + std::chrono::milliseconds(116));
+    test.client.on_message(kOther, whole(state), kStart + milliseconds(116));
     // With the state in force it asks at once.
-    REQUIRE(output.heartbeats.size() == 3);
-    CHECK(output.heartbeats[2].revision == 3);
-    current.sequence = 3;
-    client.on_message(kOther, current, kStart + std::chrono::milliseconds(120));
-    CHECK(client.has_been_current());
-    // From now on the usual pause holds.
-    client.on_tick(0, kStart + std::chrono::milliseconds(250));
-    client.on_tick(0, kStart + std::chrono::milliseconds(400));
-    CHECK(output.heartbeats.size() == 4);
+    REQUIRE(test.output.heartbeats.size() == 8);
+    CHECK(test.output.heartbeats.back().revision == 3);
+    test.client.on_message(kOther, current_reply(test.output.heartbeats.back(), 3),
+                           kStart + milliseconds(120));
+    CHECK(test.client.has_been_current());
+    // From now on the usual pause holds, and the chosen replica alone is asked.
+    test.client.on_tick(0, kStart + milliseconds(250));
+    test.client.on_tick(0, kStart + milliseconds(400));
+    CHECK(std::count(test.output.asked.begin() + 8, test.output.asked.end(), kOther) == 1);
+    CHECK(std::count(test.output.asked.begin() + 8, test.output.asked.end(), kThird) <= 1);
+  }
+
+  TEST_CASE("an observer takes what a replica without a leader holds, and goes on searching") {
+    Observer test{{kReplica, kOther}};
+    test.client.on_tick(0, kStart);
+    HeartbeatReply stale = current_reply(test.output.heartbeats[0], 2);
+    stale.is_current = false;
+    test.client.on_message(kReplica, stale, kStart + milliseconds(5));
+    CHECK(test.output.asked.back() == kReplica);
+    CHECK(test.output.heartbeats.back().wants_update);
+    FleetState state;
+    state.revision = 2;
+    test.client.on_message(kReplica, whole(state), kStart + milliseconds(6));
+    CHECK(test.client.fleet().revision == 2);
+    CHECK_FALSE(test.client.has_been_current());
+    test.client.on_tick(0, kStart + milliseconds(110));
+    CHECK(test.output.asked.back() == kOther);
+  }
+
+  TEST_CASE("an observer searches again when its replica is silent or not current") {
+    Observer test{{kReplica, kOther}};
+    test.client.on_tick(0, kStart);
+    test.client.on_message(kReplica, current_reply(test.output.heartbeats[0], 0), kStart);
+    REQUIRE(test.client.has_been_current());
+    SUBCASE("silent") {
+      test.client.on_tick(0, kStart + milliseconds(900));
+      CHECK(test.output.silent == 1);
+    }
+    SUBCASE("not current") {
+      HeartbeatReply stale = current_reply(test.output.heartbeats.back(), 0);
+      stale.is_current = false;
+      test.client.on_message(kReplica, stale, kStart + milliseconds(5));
+      test.client.on_tick(0, kStart + milliseconds(600));
+      CHECK(test.output.silent == 0);
+    }
+    const std::vector<Endpoint> last(test.output.asked.end() - 2, test.output.asked.end());
+    CHECK(last == std::vector<Endpoint>{kReplica, kOther});
+  }
+
+  TEST_CASE("observers spread over the replicas, whichever answered them first") {
+    std::map<Endpoint, int> chosen;
+    for (std::uint16_t port = 1; port <= 90; ++port) {
+      Observer test{{kReplica, kOther, kThird}, port};
+      test.client.on_tick(0, kStart);
+      // All find the leader first; then each asks the replica where it should be.
+      test.client.on_message(kReplica, current_reply(test.output.heartbeats[0], 0), kStart);
+      test.client.on_tick(0, kStart + milliseconds(600));
+      const Endpoint home = test.output.asked.back();
+      test.client.on_message(home, current_reply(test.output.heartbeats.back(), 0),
+                             kStart + milliseconds(605));
+      test.client.on_tick(0, kStart + milliseconds(1200));
+      CHECK(test.output.asked.back() == home);
+      ++chosen[home];
+    }
+    for (const Endpoint& replica : {kReplica, kOther, kThird}) {
+      CHECK(chosen[replica] >= 20);
+    }
   }
 
   TEST_CASE("an observer follows the replicas that a current replica names, and new seeds") {
-    constexpr Endpoint kNew{0x0A00C803, 7000};
+    constexpr Endpoint kNew{0x0A00C805, 7000};
     constexpr Endpoint kSeed{0x0A00C804, 7000};
-    std::vector<Endpoint> asked;
-    struct AskedOutput : RecordingOutput {
-      explicit AskedOutput(std::vector<Endpoint>& list) : list(list) {}
-      void send_control(const Endpoint& replica, const NodeMessage& /*message*/) override {
-        list.push_back(replica);
-      }
-      std::vector<Endpoint>& list;
-    };
-    AskedOutput output(asked);
-    Member self = make_self();
-    self.state = MemberState::kObserver;
-    ControlClient client{self, {kReplica}, {}, output};
-    client.on_tick(0, kStart);
-    HeartbeatReply reply;
-    reply.sequence = 1;
-    reply.is_current = true;
+    Observer test{{kReplica}};
+    test.client.on_tick(0, kStart);
+    HeartbeatReply reply = current_reply(test.output.heartbeats[0], 0);
     reply.replicas = {kNew};
-    client.on_message(kReplica, reply, kStart);
-    client.on_tick(0, kStart + std::chrono::seconds(1));
-    CHECK(asked.back() == kNew);
-    client.set_seeds({kSeed});
-    client.on_tick(0, kStart + std::chrono::seconds(3));
-    CHECK(asked.back() == kSeed);
+    test.client.on_message(kReplica, reply, kStart);
+    test.client.on_tick(0, kStart + std::chrono::seconds(1));
+    CHECK(std::count(test.output.asked.begin(), test.output.asked.end(), kNew) == 1);
+    test.client.set_seeds({kSeed});
+    test.client.on_tick(0, kStart + std::chrono::seconds(3));
+    CHECK(test.output.asked.back() == kSeed);
   }
 }
 
--- /dev/null
+++ b/tests/unit/test_frame_network.cc
@@ -0,0 +1,74 @@
+#include <doctest/doctest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "tasks/dial_attempts.h"
+#include "tasks/frame_network.h"
+#include "tasks/socket_address.h"
+
+namespace gorsevalve {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::uint32_t kLoopback = 0x7F000001;
+/// Turns of the loop of at most 10 ms each, so that a failure ends.
+constexpr int kMaxTurns = 1000;
+
+/// A port that nobody listens at.
+Endpoint free_endpoint() {
+  const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in raw = to_sockaddr({kLoopback, 0});
+  socklen_t size = sizeof(raw);
+  static_cast<void>(::bind(descriptor, reinterpret_cast<const sockaddr*>(&raw), size));
+  ::getsockname(descriptor, reinterpret_cast<sockaddr*>(&raw), &size);
+  ::close(descriptor);
+  return from_sockaddr(raw);
+}
+
+}  // namespace
+
+TEST_SUITE("frame_network") {
+  TEST_CASE("another attempt begins soon, and earlier ones go on for a while") {
+    // On days when all machines lost power, balancers waited for the kernel's copy of the opening
+    // packet, which goes a second after the first one.
+    const Instant began{std::chrono::seconds(1)};
+    CHECK_FALSE(dialling::wants_another(began, began + milliseconds(100)));
+    CHECK(dialling::wants_another(began, began + milliseconds(150)));
+    CHECK_FALSE(dialling::is_given_up(began, began + milliseconds(500)));
+    CHECK(dialling::is_given_up(began, began + milliseconds(900)));
+    CHECK(dialling::kAgainAfter * 4 < std::chrono::seconds(1));
+  }
+
+  TEST_CASE("frames reach a peer that begins to listen later, and answers come back") {
+    EventLoop loop;
+    const Endpoint peer = free_endpoint();
+    const Endpoint self{kLoopback, 1};
+    std::string heard;
+    std::string answered;
+    FrameNetwork dialler(loop, [&](ByteView frame) {
+      answered.assign(frame.begin(), frame.end());
+      return std::optional(peer);
+    });
+    FrameNetwork listener(loop, [&](ByteView frame) {
+      heard.assign(frame.begin(), frame.end());
+      return std::optional(self);
+    });
+    const Bytes question{'a', 's', 'k'};
+    const Bytes answer{'y', 'e', 's'};
+    for (int turn = 0; turn < kMaxTurns && answered.empty(); ++turn) {
+      dialler.send(peer, question, true);
+      if (turn == 3) {
+        REQUIRE(listener.listen(peer).has_value());
+      }
+      if (!heard.empty()) {
+        listener.send(self, answer, false);
+      }
+      h2o_evloop_run(loop.raw(), 10);
+    }
+    CHECK(heard == "ask");
+    CHECK(answered == "yes");
+  }
+}
+
+}  // namespace gorsevalve
