Let open flows go on by what replicas have on disk before there is a leader

Flows that were open before need no more than the targets' tokens, which never change.

Change: each frame of the log tells what was committed when it was written (disk format 2); a restarted replica applies that prefix at once. A balancer whose state no current replica has confirmed forwards packets whose token it knows and holds everything else: it opens, resets and drops nothing by it, so no accepted revision is reverted. A state is confirmed as soon as it reaches what a current replica said it holds, without another question. New event revision_confirmed.

--- a/src/core/balancer/control_client.cc
+++ b/src/core/balancer/control_client.cc
@@ -47,10 +47,20 @@
   lease_until_ = std::max(lease_until_, until);
   output_.on_lease(lease_until_);
   may_stop_ = may_stop_ || (reply.may_stop && self_.state == MemberState::kLeaving);
-  has_been_current_ = has_been_current_ || (reply.is_current && fleet_.revision >= reply.revision);
+  if (reply.is_current) {
+    current_revision_ = std::max(current_revision_.value_or(0), reply.revision);
+  }
+  check_confirmed(now);
   judge_replica(from, reply, now);
 }
 
+void ControlClient::check_confirmed(Instant now) {
+  if (!has_been_current_ && current_revision_ && fleet_.revision >= *current_revision_) {
+    has_been_current_ = true;
+    output_.on_confirmed(now);
+  }
+}
+
 void ControlClient::judge_replica(const Endpoint& from, const HeartbeatReply& reply, Instant now) {
   const bool was_searching = choice_.is_searching();
   if (!reply.is_current) {
@@ -124,10 +134,11 @@
     output_.on_expelled(now);
   }
   output_.on_fleet(fleet_, now);
+  check_confirmed(now);
   const bool is_new_member = is_member(fleet_) && lease_until_ <= now;
   if (is_new_member || (is_observer() && !has_been_current_)) {
-    // A new member has no lease yet, and an observer learns only from the reply to a heartbeat with
-    // this state whether it is the newest: they ask at once.
+    // A new member has no lease yet, and an observer does not know whether this state is the
+    // newest: they ask at once.
     settled_revision_ = 0;
     send_heartbeats(now);
   }
--- a/src/core/balancer/control_client.h
+++ b/src/core/balancer/control_client.h
@@ -20,6 +20,8 @@
   virtual void send_control(const Endpoint& replica, const NodeMessage& message) = 0;
   /// A newer fleet state is in force from now on.
   virtual void on_fleet(const FleetState& fleet, Instant now) = 0;
+  /// The state in force is the newest, or was when a current replica answered; told once.
+  virtual void on_confirmed(Instant /*now*/) {}
   virtual void on_lease(Instant until) = 0;
   /// This process was removed from the members although it runs: others have taken over what it
   /// owned. It must drop its state and call `rejoin` with a new incarnation.
@@ -73,6 +75,7 @@
   void on_update(const FleetUpdate& update, Instant now);
   /// `digest` is that of `next`: it is costly at scale, so it is worked out once.
   void adopt(FleetState next, std::uint64_t digest, Instant now);
+  void check_confirmed(Instant now);
   [[nodiscard]] bool is_member(const FleetState& fleet) const;
   void on_reply(const Endpoint& from, const HeartbeatReply& reply, Instant now);
   /// Finds or keeps a replica by what one has answered.
@@ -102,6 +105,8 @@
   /// Since when this process, which wants to be a member, has been none.
   std::optional<Instant> outside_since_;
   bool has_been_current_ = false;
+  /// What the latest current replica held.
+  std::optional<Revision> current_revision_;
   /// As the balancer told it last.
   Revision settled_revision_ = 0;
   Revision reported_settled_ = 0;
--- a/src/core/control/replica.cc
+++ b/src/core/control/replica.cc
@@ -36,6 +36,9 @@
     commit_index_ = snapshot_->index;
     applied_index_ = snapshot_->index;
   }
+  // What was committed stays so: it can be shown before there is a leader again.
+  commit_index_ = std::max(commit_index_, std::min(stored.committed, last_index()));
+  apply_committed();
   find_replicas();
   // A restarted replica does not know when it last heard from a leader, so it behaves as if it had
   // just heard from one: `leader_heard_at_` is now.
@@ -84,13 +87,20 @@
   output_.send(to, message);
 }
 
-bool Replica::persist(LogFrame frame) {
+bool Replica::persist_hard_state() {
+  LogFrame frame;
+  frame.hard_state = hard_state_;
+  return persist(frame);
+}
+
+bool Replica::persist(LogFrame& frame) {
   if (failed_) {
     return false;
   }
   if (hard_state_unsaved_) {
     frame.hard_state = hard_state_;
   }
+  frame.committed = commit_index_;
   if (storage_.append(frame)) {
     hard_state_unsaved_ = false;
     return true;
@@ -114,7 +124,7 @@
 void Replica::become_follower(Term term, Instant now) {
   if (term > hard_state_.term) {
     hard_state_ = {term, 0, false};
-    persist({hard_state_, std::nullopt, {}});
+    persist_hard_state();
     leader_.reset();
   }
   if (role_ != ReplicaRole::kFollower) {
--- a/src/core/control/replica.h
+++ b/src/core/control/replica.h
@@ -173,7 +173,9 @@
   void append_as_leader(LogEntry entry, Instant now);
   void advance_commit(Instant now);
   void apply_committed();
-  bool persist(LogFrame frame);
+  /// Writes a frame, with what is committed and an unsaved hard state added to it.
+  bool persist(LogFrame& frame);
+  bool persist_hard_state();
   void maybe_snapshot();
   void find_replicas();
   void change_replicas(Instant now);
--- a/src/core/control/replica_election.cc
+++ b/src/core/control/replica_election.cc
@@ -39,7 +39,7 @@
   votes_ = {config_.id};
   if (!pre_vote) {
     hard_state_ = {hard_state_.term + 1, config_.id, false};
-    if (!persist({hard_state_, std::nullopt, {}})) {
+    if (!persist_hard_state()) {
       // Nobody has seen the new term, so it never was.
       hard_state_ = before;
       step_down_without_disk(now);
@@ -106,7 +106,7 @@
   const bool free = hard_state_.voted_for == 0 || hard_state_.voted_for == message.from;
   if (current && free && role_ == ReplicaRole::kFollower) {
     hard_state_.voted_for = message.from;
-    if (!persist({hard_state_, std::nullopt, {}})) {
+    if (!persist_hard_state()) {
       return;
     }
     reset_election_timer(now);
--- a/src/core/control/replica_log.cc
+++ b/src/core/control/replica_log.cc
@@ -1,6 +1,7 @@
 /// The log of a replica: replication to followers, commit, snapshots. Source: see
 /// replica_messages.h.
 #include <algorithm>
+#include <iterator>
 
 #include "codec/archive.h"
 #include "core/control/replica.h"
@@ -20,14 +21,14 @@
 }  // namespace
 
 void Replica::append_as_leader(LogEntry entry, Instant now) {
+  const bool changes_replicas = entry.type == EntryType::kReplicas;
   LogFrame frame;
-  frame.entries.push_back(entry);
+  frame.entries.push_back(std::move(entry));
   if (!persist(frame)) {
     step_down_without_disk(now);
     return;
   }
-  const bool changes_replicas = entry.type == EntryType::kReplicas;
-  entries_.push_back(std::move(entry));
+  entries_.push_back(std::move(frame.entries.back()));
   if (changes_replicas) {
     find_replicas();
   }
@@ -144,7 +145,8 @@
   std::vector<LogEntry> rest(
       entries_.begin() + static_cast<std::ptrdiff_t>(applied_index_ - snapshot_index()),
       entries_.end());
-  if (!storage_.replace_with_snapshot(snapshot, {hard_state_, std::nullopt, rest})) {
+  if (!storage_.replace_with_snapshot(snapshot,
+                                      {hard_state_, std::nullopt, rest, snapshot.index})) {
     failed_ = !storage_.can_try_again();
     return;
   }
@@ -180,7 +182,7 @@
     return false;
   }
   entries_.resize(frame.entries.front().index - snapshot_index() - 1);
-  entries_.insert(entries_.end(), frame.entries.begin(), frame.entries.end());
+  std::move(frame.entries.begin(), frame.entries.end(), std::back_inserter(entries_));
   find_replicas();
   return true;
 }
@@ -249,7 +251,8 @@
       rest.assign(entries_.begin() + static_cast<std::ptrdiff_t>(snapshot.index - snapshot_index()),
                   entries_.end());
     }
-    if (!storage_.replace_with_snapshot(snapshot, {hard_state_, std::nullopt, rest})) {
+    if (!storage_.replace_with_snapshot(snapshot,
+                                        {hard_state_, std::nullopt, rest, snapshot.index})) {
       failed_ = !storage_.can_try_again();
       return;
     }
--- a/src/core/steering/flow_steering.cc
+++ b/src/core/steering/flow_steering.cc
@@ -57,6 +57,9 @@
   if (!has_settings()) {
     return {SteeringAction::kDrop, SteeringReason::kNoState, nullptr};
   }
+  if (!is_confirmed_) {
+    return follow_unconfirmed(packet, now);
+  }
   const FrontendView* frontend = view_->frontend(packet.flow.frontend);
   if (frontend != nullptr) {
     return packet.opens ? open(*frontend, packet, now) : follow(*frontend, packet, now);
@@ -72,6 +75,16 @@
   return {action, SteeringReason::kNoFrontend, nullptr};
 }
 
+SteeringDecision FlowSteering::follow_unconfirmed(const CallerPacket& packet, Instant now) {
+  constexpr SteeringDecision kUndecided{SteeringAction::kDrop, SteeringReason::kNoState, nullptr};
+  const FrontendView* frontend = view_->frontend(packet.flow.frontend);
+  if (packet.opens || frontend == nullptr) {
+    return kUndecided;
+  }
+  const SteeringDecision decision = follow(*frontend, packet, now);
+  return decision.action == SteeringAction::kForward ? decision : kUndecided;
+}
+
 SteeringDecision FlowSteering::open(const FrontendView& frontend, const CallerPacket& packet,
                                     Instant now) {
   const FlowEntry* entry = flows_.find(packet.flow);
--- a/src/core/steering/flow_steering.h
+++ b/src/core/steering/flow_steering.h
@@ -74,6 +74,9 @@
   void adopt(const SteeringState& state, Instant now);
 
   SteeringDecision on_packet(const CallerPacket& packet, Instant now);
+  /// The state is the newest. Until then it may be what a replica knew before a loss of all: open
+  /// flows go on by it, and everything else is kNoState.
+  void confirm() { is_confirmed_ = true; }
   /// Forgets what has rested; to be called about once a second.
   void on_tick(Instant now);
 
@@ -84,6 +87,7 @@
   void set_faults(const SteeringFaults& faults) { faults_ = faults; }
 
  private:
+  [[nodiscard]] SteeringDecision follow_unconfirmed(const CallerPacket& packet, Instant now);
   SteeringDecision open(const FrontendView& frontend, const CallerPacket& packet, Instant now);
   SteeringDecision follow(const FrontendView& frontend, const CallerPacket& packet, Instant now);
   const RegisteredTarget* place(const FrontendView& frontend, const CallerPacket& packet,
@@ -99,6 +103,7 @@
   void remove_load(const FlowEntry& entry);
 
   std::uint64_t seed_;
+  bool is_confirmed_ = false;
   std::unique_ptr<SteeringView> view_;
   FlowTable flows_;
   TargetScores scores_;
--- a/src/core/steering/held_packets.cc
+++ b/src/core/steering/held_packets.cc
@@ -4,21 +4,17 @@
 
 namespace gorsevalve {
 
-void HeldPackets::hold(ByteView packet, Instant now) {
+void HeldPackets::hold(ByteView packet, Instant at) {
   if (packets_.size() >= kMaxPackets) {
     packets_.pop_front();
   }
-  packets_.push_back({Bytes(packet.begin(), packet.end()), now});
+  packets_.push_back({Bytes(packet.begin(), packet.end()), at});
 }
 
-std::deque<Bytes> HeldPackets::take(Instant now) {
-  std::deque<Bytes> young;
-  for (auto& held : std::exchange(packets_, {})) {
-    if (now - held.at <= kMaxAge) {
-      young.push_back(std::move(held.packet));
-    }
-  }
-  return young;
+std::deque<HeldPackets::Packet> HeldPackets::take(Instant now) {
+  std::deque<Packet> packets = std::exchange(packets_, {});
+  std::erase_if(packets, [&](const Packet& packet) { return now - packet.at > kMaxAge; });
+  return packets;
 }
 
 }  // namespace gorsevalve
--- a/src/core/steering/held_packets.h
+++ b/src/core/steering/held_packets.h
@@ -1,5 +1,6 @@
-/// Packets that came before a starting balancer had its state: kept for a moment and given again
-/// once it has, so that callers need not wait for their next copy. Bounded; the oldest go first.
+/// Packets that came before a starting balancer could decide about them: kept for a moment and
+/// given again with each newer state, so that callers need not wait for their next copy. Bounded;
+/// the oldest go first.
 #pragma once
 
 #include <deque>
@@ -15,17 +16,19 @@
   /// Older packets are of no use: the caller has sent a copy, or has given up.
   static constexpr Duration kMaxAge = std::chrono::milliseconds(1200);
 
-  void hold(ByteView packet, Instant now);
+  struct Packet {
+    Bytes bytes;
+    /// When it came.
+    Instant at;
+  };
+
+  void hold(ByteView packet, Instant at);
   /// Gives back the packets that are young enough, in the order in which they came.
-  [[nodiscard]] std::deque<Bytes> take(Instant now);
+  [[nodiscard]] std::deque<Packet> take(Instant now);
   [[nodiscard]] std::size_t size() const { return packets_.size(); }
 
  private:
-  struct Held {
-    Bytes packet;
-    Instant at;
-  };
-  std::deque<Held> packets_;
+  std::deque<Packet> packets_;
 };
 
 }  // namespace gorsevalve
--- a/src/storage/log_store.cc
+++ b/src/storage/log_store.cc
@@ -58,6 +58,7 @@
   if (frame.hard_state) {
     stored.hard_state = *frame.hard_state;
   }
+  stored.committed = std::max(stored.committed, frame.committed);
   if (frame.truncate_from) {
     std::erase_if(stored.entries,
                   [&](const LogEntry& entry) { return entry.index >= *frame.truncate_from; });
--- a/src/storage/log_store.h
+++ b/src/storage/log_store.h
@@ -23,6 +23,8 @@
   std::optional<Snapshot> snapshot;
   /// Entries after the snapshot, without gaps.
   std::vector<LogEntry> entries;
+  /// Highest index that was known to be committed when something was written last.
+  LogIndex committed = 0;
 };
 
 /// Who the replica is. Written once.
@@ -30,7 +32,7 @@
   ReplicaId id = 0;
   std::string cluster;
   /// Version of the formats in this folder.
-  std::uint32_t format = 1;
+  std::uint32_t format = 2;
   /// The first replicas of the cluster, when this one is among them; else empty.
   ReplicaSet first_replicas;
 
@@ -46,16 +48,19 @@
   /// Drop the entries from this index on, before `entries` are added.
   std::optional<LogIndex> truncate_from;
   std::vector<LogEntry> entries;
+  /// What the replica knew to be committed before this write.
+  LogIndex committed = 0;
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive& hard_state& truncate_from& entries;
+    archive& hard_state& truncate_from& entries& committed;
   }
 };
 
 class LogStore {
  public:
-  static constexpr std::uint32_t kFormat = 1;
+  /// Format 2 added LogFrame::committed.
+  static constexpr std::uint32_t kFormat = 2;
   /// A new segment begins at this size, in octets.
   static constexpr std::uint64_t kSegmentSize = 4U << 20U;
 
--- a/src/tasks/log_events.h
+++ b/src/tasks/log_events.h
@@ -30,6 +30,7 @@
   kSettingsRefused,
   kFlowDecision,
   kRevisionInForce,
+  kRevisionConfirmed,
   kFleetNotKept,
   kExpelledAndRejoining,
   kReplicaSilent,
@@ -88,7 +89,11 @@
         {LogEvent::kFlowDecision, "flow_decision", LogLevel::kInfo, LogClass::kRoutine,
          "A flow was placed, placed again, refused or not understood, and why."},
         {LogEvent::kRevisionInForce, "revision_in_force", LogLevel::kInfo, LogClass::kState,
-         "The balancer decides by this revision from now on."},
+         "The balancer decides by this revision from now on; about open flows only, until one is "
+         "confirmed."},
+        {LogEvent::kRevisionConfirmed, "revision_confirmed", LogLevel::kInfo, LogClass::kState,
+         "A replica that follows a living leader holds no newer revision: the starting balancer "
+         "places flows."},
         {LogEvent::kFleetNotKept, "fleet_not_kept", LogLevel::kWarning, LogClass::kState,
          "The copy of the state for the next start could not be written."},
         {LogEvent::kExpelledAndRejoining, "expelled_and_rejoining", LogLevel::kWarning,
--- a/src/tasks/steering_task.cc
+++ b/src/tasks/steering_task.cc
@@ -1,8 +1,5 @@
 #include "tasks/steering_task.h"
 
-#include <algorithm>
-#include <array>
-
 #include "tasks/log.h"
 
 namespace gorsevalve {
@@ -30,8 +27,10 @@
   std::unique_ptr<SteeringTask> task(new SteeringTask(loop, std::move(config), format));
   SteeringTask& self = *task;
   self.socket_ = std::move(*socket);
-  self.socket_->start(
-      [&self](ByteView datagram, const Endpoint& /*from*/) { self.on_datagram(datagram); });
+  self.socket_->start([&self](ByteView datagram, const Endpoint& /*from*/) {
+    const Instant now = monotonic_now();
+    self.on_datagram(datagram, now, now);
+  });
   loop.every(kTickInterval, [&self] { self.on_tick(); });
   self.tick_until_ready();
   return task;
@@ -66,34 +65,46 @@
   log_event(LogEvent::kStopping, {{"flows", steering_.flows()}});
 }
 
-void SteeringTask::on_datagram(ByteView datagram) {
+void SteeringTask::on_datagram(ByteView datagram, Instant came_at, Instant now) {
   const auto packet = format_.parse(datagram);
   if (!packet) {
     ++counters_.malformed;
     return;
   }
-  const Instant now = monotonic_now();
   last_packet_ = now;
   const SteeringDecision decision = steering_.on_packet(*packet, now);
   ++counters_.packets[static_cast<std::size_t>(decision.reason)];
   if (decision.reason == SteeringReason::kNoState) {
-    held_.hold(datagram, now);
+    held_.hold(datagram, came_at);
     return;
   }
   log_decision(*packet, decision);
   if (decision.action == SteeringAction::kForward) {
-    std::array<std::uint8_t, kMaxDatagram> copy{};
-    std::copy(datagram.begin(), datagram.end(), copy.begin());
-    const std::span<std::uint8_t> forwarded(copy.data(), datagram.size());
-    std::array<std::uint8_t, kMaxSteeringPrefix> prefix{};
-    const std::size_t size = format_.prepare_forward(forwarded, *decision.target, prefix);
-    socket_->send(decision.target->address, ByteView(prefix.data(), size), forwarded);
+    forward(datagram, *decision.target);
   } else if (decision.action == SteeringAction::kReset) {
     ++counters_.resets;
     socket_->send(format_.reset_destination(*packet), format_.make_reset(*packet));
   }
 }
 
+void SteeringTask::forward(ByteView datagram, const RegisteredTarget& target) {
+  const std::size_t size = format_.forwarded_size(datagram.size());
+  const std::span<std::uint8_t> out = socket_->reserve(target.address, size);
+  if (!out.empty()) {
+    format_.write_forwarded(datagram, target, out);
+  }
+}
+
+void SteeringTask::retry_held(Instant now) {
+  if (held_.size() == 0) {
+    return;
+  }
+  for (const auto& packet : held_.take(now)) {
+    on_datagram(packet.bytes, packet.at, now);
+  }
+  socket_->flush();
+}
+
 void SteeringTask::log_decision(const CallerPacket& packet,
                                 const SteeringDecision& decision) const {
   if (decision.reason == SteeringReason::kToken) {
@@ -154,12 +165,14 @@
                                          {"operator_version", fleet.steering.settings.version},
                                          {"targets", fleet.steering.targets.size()},
                                          {"held_packets", held_.size()}});
-  if (steering_.has_settings() && held_.size() > 0) {
-    for (const auto& packet : held_.take(now)) {
-      on_datagram(packet);
-    }
-    socket_->flush();
-  }
+  retry_held(now);
+}
+
+void SteeringTask::on_confirmed(Instant now) {
+  steering_.confirm();
+  log_event(LogEvent::kRevisionConfirmed,
+            {{"revision", control_.fleet().revision}, {"held_packets", held_.size()}});
+  retry_held(now);
 }
 
 }  // namespace gorsevalve
--- a/src/tasks/steering_task.h
+++ b/src/tasks/steering_task.h
@@ -20,20 +20,17 @@
 
 namespace gorsevalve {
 
-/// Largest part that a format puts before a forwarded packet, in octets.
-constexpr std::size_t kMaxSteeringPrefix = 64;
-
 /// How packets of callers and of targets look on the wire.
 class PacketFormat {
  public:
   virtual ~PacketFormat() = default;
   /// What steering needs of a datagram from a caller; nothing when it is malformed.
   [[nodiscard]] virtual std::optional<CallerPacket> parse(ByteView datagram) const = 0;
-  /// Writes the target's token into the datagram, and what goes before it into `prefix`; gives the
-  /// size of the prefix.
-  virtual std::size_t prepare_forward(std::span<std::uint8_t> datagram,
-                                      const RegisteredTarget& target,
-                                      std::span<std::uint8_t, kMaxSteeringPrefix> prefix) const = 0;
+  /// Size of what is sent to a target in place of a caller's datagram, in octets.
+  [[nodiscard]] virtual std::size_t forwarded_size(std::size_t datagram_size) const = 0;
+  /// Writes what is sent to the target, with its token, into `out` of that size.
+  virtual void write_forwarded(ByteView datagram, const RegisteredTarget& target,
+                               std::span<std::uint8_t> out) const = 0;
   /// A reset that answers a packet, and where it goes.
   [[nodiscard]] virtual Bytes make_reset(const CallerPacket& packet) const = 0;
   [[nodiscard]] virtual Endpoint reset_destination(const CallerPacket& packet) const = 0;
@@ -78,7 +75,10 @@
  private:
   SteeringTask(EventLoop& loop, SteeringTaskConfig config, const PacketFormat& format);
 
-  void on_datagram(ByteView datagram);
+  /// `came_at` is earlier than now for a packet that was held.
+  void on_datagram(ByteView datagram, Instant came_at, Instant now);
+  void forward(ByteView datagram, const RegisteredTarget& target);
+  void retry_held(Instant now);
   std::optional<Endpoint> on_frame(ByteView frame);
   void on_tick();
   /// Asks the replicas more often until the first state is confirmed.
@@ -87,6 +87,7 @@
 
   void send_control(const Endpoint& replica, const NodeMessage& message) override;
   void on_fleet(const FleetState& fleet, Instant now) override;
+  void on_confirmed(Instant now) override;
   void on_lease(Instant /*until*/) override {}
   void on_expelled(Instant /*now*/) override {}
   void on_replica_silent(const Endpoint& replica) override;
--- a/src/tasks/udp_socket.cc
+++ b/src/tasks/udp_socket.cc
@@ -100,24 +100,30 @@
 }
 
 void UdpSocket::send(const Endpoint& to, ByteView head, ByteView body) {
+  const std::span<std::uint8_t> out = reserve(to, head.size() + body.size());
+  if (!out.empty()) {
+    std::copy(head.begin(), head.end(), out.begin());
+    std::copy(body.begin(), body.end(), out.begin() + static_cast<std::ptrdiff_t>(head.size()));
+  }
+}
+
+std::span<std::uint8_t> UdpSocket::reserve(const Endpoint& to, std::size_t size) {
   Buffers& buffers = *buffers_;
-  if (head.size() + body.size() > kMaxDatagram) {
-    return;
+  if (size > kMaxDatagram) {
+    return {};
   }
   if (buffers.out_count == kBatch) {
     flush();
   }
   const std::size_t i = buffers.out_count++;
-  std::copy(head.begin(), head.end(), buffers.out[i].begin());
-  std::copy(body.begin(), body.end(),
-            buffers.out[i].begin() + static_cast<std::ptrdiff_t>(head.size()));
-  buffers.out_parts[i] = {buffers.out[i].data(), head.size() + body.size()};
+  buffers.out_parts[i] = {buffers.out[i].data(), size};
   buffers.out_addresses[i] = to_sockaddr(to);
   buffers.out_headers[i] = {};
   buffers.out_headers[i].msg_hdr.msg_iov = &buffers.out_parts[i];
   buffers.out_headers[i].msg_hdr.msg_iovlen = 1;
   buffers.out_headers[i].msg_hdr.msg_name = &buffers.out_addresses[i];
   buffers.out_headers[i].msg_hdr.msg_namelen = sizeof(sockaddr_in);
+  return {buffers.out[i].data(), size};
 }
 
 void UdpSocket::flush() {
--- a/src/tasks/udp_socket.h
+++ b/src/tasks/udp_socket.h
@@ -34,6 +34,9 @@
   /// Queues a datagram made of two parts. It leaves with the next `flush`, or when the queue is
   /// full. Datagrams that the kernel does not take are dropped, as a network would.
   void send(const Endpoint& to, ByteView head, ByteView body = {});
+  /// The same, for a datagram that the caller writes in place before anything else is sent; empty
+  /// when it would be too large.
+  std::span<std::uint8_t> reserve(const Endpoint& to, std::size_t size);
   void flush();
 
  private:
--- a/tests/platform/test_platform.cc
+++ b/tests/platform/test_platform.cc
@@ -72,16 +72,16 @@
 
   TEST_CASE("a forwarded packet differs in the token only, behind the target's number") {
     const PlatformPacketFormat format(8172);
-    Bytes datagram = kOpening;
     RegisteredTarget target;
     target.id = 0x7f3a91c2;
     target.token = 0x04030201;
-    std::array<std::uint8_t, kMaxSteeringPrefix> prefix{};
-    REQUIRE(format.prepare_forward(datagram, target, prefix) == 8);
+    REQUIRE(format.forwarded_size(kOpening.size()) == 8 + kOpening.size());
+    Bytes out(8 + kOpening.size());
+    format.write_forwarded(kOpening, target, out);
     const std::array<std::uint8_t, 8> expected = {0, 0, 0, 0, 0x7f, 0x3a, 0x91, 0xc2};
-    CHECK(std::memcmp(prefix.data(), expected.data(), expected.size()) == 0);
-    CHECK(std::memcmp(datagram.data(), kOpening.data(), 28) == 0);
-    CHECK(format.parse(datagram)->token == 0x04030201);
+    CHECK(std::memcmp(out.data(), expected.data(), expected.size()) == 0);
+    CHECK(std::memcmp(out.data() + 8, kOpening.data(), 28) == 0);
+    CHECK(format.parse(ByteView(out).subspan(8))->token == 0x04030201);
   }
 
   TEST_CASE("malformed packets and those that only targets write are refused") {
--- a/tests/sim/test_steering_workload.cc
+++ b/tests/sim/test_steering_workload.cc
@@ -36,6 +36,7 @@
     for (std::size_t i = 0; i < kBalancers; ++i) {
       balancers_.emplace_back(seed + i);
       balancers_.back().set_faults(faults);
+      balancers_.back().confirm();
       held_.push_back(0);
     }
     submit();
--- a/tests/unit/test_control_client.cc
+++ b/tests/unit/test_control_client.cc
@@ -26,6 +26,7 @@
   void on_fleet(const FleetState& fleet, Instant /*now*/) override {
     revisions.push_back(fleet.revision);
   }
+  void on_confirmed(Instant /*now*/) override { ++confirmed; }
   void on_lease(Instant until) override { lease = until; }
   void on_expelled(Instant /*now*/) override { ++expelled; }
   void on_replica_silent(const Endpoint& /*replica*/) override { ++silent; }
@@ -35,6 +36,7 @@
   std::vector<Endpoint> asked;
   std::vector<Revision> revisions;
   Instant lease;
+  int confirmed = 0;
   int expelled = 0;
   int silent = 0;
 };
@@ -200,17 +202,18 @@
     FleetState state;
     state.revision = 3;
     test.client.on_message(kOther, whole(state), kStart + milliseconds(116));
-    // With the state in force it asks at once.
-    REQUIRE(test.output.heartbeats.size() == 8);
-    CHECK(test.output.heartbeats.back().revision == 3);
-    test.client.on_message(kOther, current_reply(test.output.heartbeats.back(), 3),
-                           kStart + milliseconds(120));
+    // What it held when it was current is in force: that confirms it, once.
     CHECK(test.client.has_been_current());
+    CHECK(test.output.confirmed == 1);
+    CHECK(test.output.heartbeats.size() == 7);
     // From now on the usual pause holds, and the chosen replica alone is asked.
     test.client.on_tick(0, kStart + milliseconds(250));
     test.client.on_tick(0, kStart + milliseconds(400));
-    CHECK(std::count(test.output.asked.begin() + 8, test.output.asked.end(), kOther) == 1);
-    CHECK(std::count(test.output.asked.begin() + 8, test.output.asked.end(), kThird) <= 1);
+    CHECK(std::count(test.output.asked.begin() + 7, test.output.asked.end(), kOther) == 1);
+    CHECK(std::count(test.output.asked.begin() + 7, test.output.asked.end(), kThird) <= 1);
+    test.client.on_message(kOther, current_reply(test.output.heartbeats.back(), 3),
+                           kStart + milliseconds(405));
+    CHECK(test.output.confirmed == 1);
   }
 
   TEST_CASE("an observer takes what a replica without a leader holds, and goes on searching") {
--- a/tests/unit/test_flow_steering.cc
+++ b/tests/unit/test_flow_steering.cc
@@ -55,7 +55,10 @@
 
 /// A balancer with the given state.
 struct SteeringBalancer {
-  explicit SteeringBalancer(const SteeringState& state) { steering.adopt(state, kStart); }
+  explicit SteeringBalancer(const SteeringState& state) {
+    steering.adopt(state, kStart);
+    steering.confirm();
+  }
   FlowSteering steering{7};
 };
 
@@ -230,6 +233,29 @@
     CHECK(decision.reason == SteeringReason::kNoTarget);
   }
 
+  TEST_CASE(
+      "until its state is confirmed a balancer forwards open flows and decides nothing else") {
+    // After a loss of all machines a replica shows what it has on disk before there is a leader.
+    SteeringState state = make_state({{"alpha", 1}}, {target(1, "alpha")});
+    FlowSteering steering(7);
+    steering.adopt(state, kStart);
+    CHECK(steering.on_packet(later(1, 101), kStart).target->id == 1);
+    CHECK(steering.on_packet(opening(2), kStart).reason == SteeringReason::kNoState);
+    CHECK(steering.on_packet(later(3, 555), kStart).reason == SteeringReason::kNoState);
+    CallerPacket stranger = later(1, 101);
+    stranger.flow.frontend = {5, 5};
+    CHECK(steering.on_packet(stranger, kStart).reason == SteeringReason::kNoState);
+    state.targets[0].phase = TargetPhase::kEnded;
+    state.targets.push_back(target(2, "alpha"));
+    state.targets[1].address = state.targets[0].address;
+    steering.adopt(state, kStart);
+    // Its target was replaced by what is known; that may be corrected, so nothing is reset.
+    CHECK(steering.on_packet(later(1, 101), kStart).reason == SteeringReason::kNoState);
+    steering.confirm();
+    CHECK(steering.on_packet(later(1, 101), kStart).action == SteeringAction::kReset);
+    CHECK(steering.on_packet(opening(2), kStart).target->id == 2);
+  }
+
   TEST_CASE("open flows are counted once, and forgotten after a rest") {
     SteeringBalancer test(make_state({{"alpha", 1}}, {target(1, "alpha")}));
     test.steering.on_packet(opening(1), kStart);
@@ -258,7 +284,10 @@
     held.hold(young, kStart + milliseconds(1000));
     const auto back = held.take(kStart + milliseconds(1500));
     REQUIRE(back.size() == 1);
-    CHECK(back[0] == young);
+    CHECK(back[0].bytes == young);
+    // What is held again keeps its age.
+    held.hold(back[0].bytes, back[0].at);
+    CHECK(held.take(kStart + milliseconds(2300)).empty());
     for (std::size_t i = 0; i < HeldPackets::kMaxPackets + 5; ++i) {
       held.hold(young, kStart);
     }
--- a/tests/unit/test_log_store.cc
+++ b/tests/unit/test_log_store.cc
@@ -8,13 +8,15 @@
 
 LogEntry make_entry(LogIndex index) { return {1, index, EntryType::kNone, Bytes(20, 7)}; }
 
-LogFrame make_frame(LogIndex index) { return {std::nullopt, std::nullopt, {make_entry(index)}}; }
+LogFrame make_frame(LogIndex index) {
+  return {std::nullopt, std::nullopt, {make_entry(index)}, index - 1};
+}
 
 /// A disk with entries 1 to 3.
 void fill(SimDisk& disk) {
   LogStore store(disk);
   REQUIRE(store.open());
-  REQUIRE(store.append({HardState{3, 9}, std::nullopt, {}}));
+  REQUIRE(store.append({HardState{3, 9}, std::nullopt, {}, 0}));
   for (LogIndex index = 1; index <= 3; ++index) {
     REQUIRE(store.append(make_frame(index)));
   }
@@ -32,6 +34,7 @@
     const auto stored = store.open();
     REQUIRE(stored);
     CHECK(stored->hard_state == HardState{3, 9});
+    CHECK(stored->committed == 2);
     REQUIRE(stored->entries.size() == 3);
     CHECK(stored->entries[2] == make_entry(3));
   }
--- a/tests/unit/test_replica.cc
+++ b/tests/unit/test_replica.cc
@@ -9,11 +9,15 @@
 
 class MemoryStorage : public ReplicaStorage {
  public:
-  bool append(const LogFrame& /*frame*/) override { return works; }
+  bool append(const LogFrame& frame) override {
+    committed = frame.committed;
+    return works;
+  }
   bool replace_with_snapshot(const Snapshot& /*snapshot*/, const LogFrame& /*frame*/) override {
     return works;
   }
   [[nodiscard]] bool can_try_again() const override { return recoverable; }
+  LogIndex committed = 0;
   bool works = true;
   bool recoverable = false;
 };
@@ -159,6 +163,29 @@
     CHECK(std::get<VoteReply>(greater.output.sent[1].body).granted);
   }
 
+  TEST_CASE("a restarted replica shows what it knew to be committed, and no more") {
+    // Found on the platform: after a loss of all machines balancers waited for an election,
+    // although each replica had on disk nearly all that was committed.
+    StoredReplica stored;
+    stored.hard_state = {3, 0, false};
+    for (LogIndex index = 1; index <= 4; ++index) {
+      stored.entries.push_back({3, index, EntryType::kSteering, {}});
+    }
+    stored.committed = 3;
+    TestReplica test;
+    test.state.applied = 0;
+    Replica replica(ReplicaConfig{1, {1, 7000}, {}, 7, {}}, three(), stored, test.storage,
+                    test.output, test.state, kStart);
+    CHECK(replica.commit_index() == 3);
+    CHECK(test.state.applied == 3);
+    CHECK_FALSE(replica.is_current(kStart));
+    // Each write tells what is committed.
+    AppendRequest next{{2, 7000}, 4, 3, 4, 0, {{4, 5, EntryType::kNone, {}}}};
+    replica.on_message({2, 4, next}, kStart);
+    CHECK(test.storage.committed == 3);
+    CHECK(replica.commit_index() == 4);
+  }
+
   TEST_CASE("one vote a term, and it survives in the hard state only") {
     TestReplica test;
     const Instant later = kStart + std::chrono::seconds(2);
