Add a fault soak of the real programs for the users' machines

Change: tests/platform/soak plays callers (feeds, once-only updates, downloads), targets that announce themselves, drain, end without notice, crash and pass their address on, routers with steady hashing, and racing operators that lose answers, around 6 balancers and 3 or 5 replicas. Faults: SIGKILL of one, of all replicas, of everything; SIGSTOP; SIGTERM; SIGHUP; lost disks; replaced machines; disks that refuse writes (a file size limit set from outside); the loopback proxy cuts (both ways, one way), delays and resets connections; packets are lost. No clock is stepped, since only log lines use the time of day; a stalled disk is not played (it needs a file system of our own), a frozen process is near it.

Two mistakes of the soak itself were mended on the way (one machine started twice, one waited for before its start).

--- a/Makefile
+++ b/Makefile
@@ -2,8 +2,9 @@
 PRESET ?= release
 BUILD := build/$(PRESET)
 SEEDS ?= 1000
+RUNS ?= 4
 
-.PHONY: all packages build demo test lint format unit soak endurance bench clean
+.PHONY: all packages build demo test lint format unit soak fault-soak endurance bench clean
 
 all: build
 
@@ -35,6 +36,10 @@
 soak: build
 	python3 scripts/soak.py --build $(BUILD) --seeds=$(SEEDS)
 
+# The programs for the users' machines under faults from outside, with fresh seeds; not part of CI.
+fault-soak: build
+	python3 tests/platform/soak/soak.py --build $(BUILD) --runs $(RUNS) --seconds 60
+
 # Real processes for minutes under changes and failures, with a report in run/endurance.
 endurance: build
 	python3 scripts/endurance.py --build $(BUILD)
--- a/scripts/fault_proxy.py
+++ b/scripts/fault_proxy.py
@@ -2,17 +2,22 @@
 
 Every process binds a private address and is known by its public one; the proxy listens on the public
 addresses. TCP frames and UDP messages name their sender inside (see src/codec/envelope.h), so the proxy
-knows both ends of each message. A cut drops messages in silence; connections stay open.
+knows both ends of each message. A cut drops messages in silence, both ways or one way; connections stay
+open. TCP frames can be delayed, and connections reset.
 """
 
+import heapq
+import itertools
 import random
 import selectors
 import socket
 import struct
 import threading
+import time
 
 FRAME_LENGTH = 4
 SENDER_OFFSET = 6
+SEND_TIMEOUT = 0.5
 
 
 def parse(address):
@@ -35,6 +40,10 @@
         self.selector = selectors.DefaultSelector()
         self.random = random.Random(seed)
         self.cuts = set()
+        self.delay = 0.0
+        self.delayed = []
+        self.delay_order = itertools.count()
+        self.pairs = []
         self.datagram_loss = 0.0
         self.datagram_duplication = 0.0
         self.dropped = 0
@@ -67,7 +76,18 @@
 
     def cut(self, group, others):
         """Drops all messages between two groups of public addresses, both ways."""
-        self.cuts = self.cuts | {frozenset((a, b)) for a in group for b in others}
+        self.cut_one_way(group, others)
+        self.cut_one_way(others, group)
+
+    def cut_one_way(self, senders, receivers):
+        """Drops all messages from one group of public addresses to another."""
+        self.cuts = self.cuts | {(a, b) for a in senders for b in receivers}
+
+    def reset_connections(self, addresses):
+        """Resets the TCP connections that processes with these public addresses have or serve."""
+        for pair in list(self.pairs):
+            if pair.public in addresses or pair.client_name in addresses:
+                pair.reset_wanted = True
 
     def heal(self):
         self.cuts = set()
@@ -76,8 +96,8 @@
         self.sockets.append(sock)
         self.selector.register(sock, selectors.EVENT_READ, action)
 
-    def _is_cut(self, a, b):
-        return a is not None and frozenset((a, b)) in self.cuts
+    def _is_cut(self, sender, receiver):
+        return (sender, receiver) in self.cuts
 
     def _datagram(self, sock, public, private):
         try:
@@ -103,6 +123,7 @@
             client.close()
             return
         pair = Pair(self, client, server, public)
+        self.pairs.append(pair)
         for sock in (client, server):
             sock.setblocking(False)
             self._watch(sock, lambda sock=sock, pair=pair: pair.on_readable(sock))
@@ -114,10 +135,22 @@
             pass
         sock.close()
 
+    def later(self, action):
+        """Runs an action after the present delay, in order."""
+        heapq.heappush(self.delayed, (time.monotonic() + self.delay, next(self.delay_order), action))
+
+    def _run_delayed(self):
+        while self.delayed and self.delayed[0][0] <= time.monotonic():
+            heapq.heappop(self.delayed)[2]()
+
     def _run(self):
         while self.running:
-            for key, _ in self.selector.select(0.1):
+            wait = min(0.1, max(0.0, self.delayed[0][0] - time.monotonic())) if self.delayed else 0.1
+            for key, _ in self.selector.select(wait):
                 key.data()
+            self._run_delayed()
+            for pair in [pair for pair in self.pairs if pair.reset_wanted]:
+                pair.reset()
 
 
 class Pair:
@@ -127,6 +160,8 @@
         self.proxy = proxy
         self.public = public
         self.client_name = None
+        self.reset_wanted = False
+        self.closed = False
         self.peer = {client: server, server: client}
         self.client = client
         self.buffers = {client: b"", server: b""}
@@ -155,11 +190,22 @@
         frame, self.buffers[sock] = buffer[:size], buffer[size:]
         if sock is self.client:
             self.client_name = sender_of(frame[FRAME_LENGTH:])
-        if self.proxy._is_cut(self.client_name, self.public):
+        ends = (self.client_name, self.public)
+        sender, receiver = ends if sock is self.client else reversed(ends)
+        if self.proxy._is_cut(sender, receiver):
             self.proxy.dropped += 1
             return True
+        if self.proxy.delay > 0 or self.proxy.delayed:
+            self.proxy.later(lambda: self._send(sock, frame))
+            return True
+        return self._send(sock, frame)
+
+    def _send(self, sock, frame):
+        if self.closed:
+            return False
         try:
-            self.peer[sock].setblocking(True)
+            # A peer that does not read for longer loses its connection, and nobody else waits.
+            self.peer[sock].settimeout(SEND_TIMEOUT)
             self.peer[sock].sendall(frame)
             self.peer[sock].setblocking(False)
         except OSError:
@@ -167,6 +213,15 @@
             return False
         return True
 
+    def reset(self):
+        """Ends both connections with a reset."""
+        for sock in self.peer:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.close()
+
     def close(self):
+        self.closed = True
+        if self in self.proxy.pairs:
+            self.proxy.pairs.remove(self)
         for sock in self.peer:
             self.proxy.forget(sock)
--- a/src/programs/program.cc
+++ b/src/programs/program.cc
@@ -94,6 +94,8 @@
   return value;
 }
 
+void ignore_reload_signal() { std::signal(SIGHUP, SIG_IGN); }
+
 void handle_signals(EventLoop& loop, SignalActions actions) {
   int ends[2] = {-1, -1};
   if (::pipe2(ends, O_NONBLOCK | O_CLOEXEC) != 0) {
--- a/src/programs/program.h
+++ b/src/programs/program.h
@@ -41,6 +41,10 @@
   std::function<void()> on_reload;
 };
 
+/// Until `handle_signals` is called, SIGHUP would end the process. To be called first in a program
+/// that reloads its settings, before it reads them.
+void ignore_reload_signal();
+
 /// Runs actions on the loop when signals come. To be called once in a process.
 void handle_signals(EventLoop& loop, SignalActions actions);
 
--- /dev/null
+++ b/tests/platform/soak/faults.py
@@ -0,0 +1,260 @@
+"""What is done to a running deployment: planned work, and faults put in from outside. Each action ends by
+undoing what it did."""
+
+import asyncio
+import contextlib
+
+from machine import STOP_TIME
+from promises import now
+
+REUSE_AFTER = 2.0
+CATCH_UP = 4.0
+
+
+class Faults:
+    """Actions on one world, each a coroutine without arguments."""
+
+    def __init__(self, world):
+        self.world = world
+        self.random = world.random
+        self.control_lock = asyncio.Lock()
+
+    def planned(self):
+        return [self.roll_balancers, self.stop_control, self.change_configuration, self.storm, self.race,
+                self.lost_answers, self.invalid_configuration, self.release, self.leave_without_notice,
+                self.new_settings]
+
+    def unplanned(self):
+        return [self.kill_balancer, self.freeze_balancer, self.kill_control, self.freeze_control,
+                self.kill_all_controls, self.kill_everything, self.wipe_control, self.replace_control,
+                self.cut_control, self.cut_control_one_way, self.cut_balancer, self.delay_messages,
+                self.reset_connections, self.lose_packets, self.fill_disk, self.crash_target,
+                self.reuse_address, self.slow_target]
+
+    # Machines.
+    @contextlib.asynccontextmanager
+    async def held(self, machine):
+        """No other action handles the machine meanwhile; False when it was replaced before."""
+        async with machine.lock:
+            yield machine in self.world.machines
+
+    async def restart(self, machine, dark):
+        async with self.held(machine) as is_there:
+            if is_there:
+                machine.kill()
+                await asyncio.sleep(dark)
+                machine.start()
+
+    async def kill_balancer(self):
+        await self.restart(self.random.choice(self.world.balancers), self.random.uniform(0.1, 3))
+
+    async def kill_control(self):
+        await self.restart(self.random.choice(self.world.controls), self.random.uniform(0.1, 3))
+
+    async def kill_all_controls(self):
+        await asyncio.gather(*(self.restart(m, self.random.uniform(0.1, 0.8)) for m in self.world.controls))
+
+    async def kill_everything(self):
+        await asyncio.gather(*(self.restart(m, self.random.uniform(0.1, 0.8)) for m in self.world.machines))
+
+    async def freeze(self, machine):
+        async with self.held(machine):
+            machine.freeze()
+            await asyncio.sleep(self.random.uniform(0.5, 5))
+            machine.thaw()
+
+    async def freeze_balancer(self):
+        await self.freeze(self.random.choice(self.world.balancers))
+
+    async def freeze_control(self):
+        await self.freeze(self.random.choice(self.world.controls))
+
+    async def stop(self, machine):
+        """A planned stop and a start."""
+        async with self.held(machine) as is_there:
+            if not is_there:
+                return
+            machine.terminate()
+            begun = now()
+            while machine.is_running and now() - begun < STOP_TIME:
+                await asyncio.sleep(0.05)
+            if machine.is_running:
+                self.world.promises.violate("FAULT", f"{machine.name} did not stop in {STOP_TIME} s")
+            machine.kill()
+            machine.start()
+
+    async def roll_balancers(self):
+        for machine in self.random.sample(self.world.balancers, 2):
+            await self.stop(machine)
+            await asyncio.sleep(1.5)
+
+    async def stop_control(self):
+        await self.stop(self.random.choice(self.world.controls))
+
+    async def wipe_control(self):
+        """A disk is lost; one at a time, and only while all the others have caught up."""
+        async with self.control_lock:
+            if await self.world.wait_control(10):
+                machine = self.random.choice(self.world.controls)
+                async with self.held(machine):
+                    machine.kill()
+                    machine.lose_disk()
+                    await asyncio.sleep(self.random.uniform(0.1, 2))
+                    machine.start()
+                await self.world.wait_control(20)
+                await asyncio.sleep(CATCH_UP)
+
+    async def replace_control(self):
+        """A machine is gone for good; an empty one comes at another address, and seeds change."""
+        async with self.control_lock:
+            if not await self.world.wait_control(10):
+                return
+            old = self.random.choice(self.world.controls)
+            new = self.world.make_control(old.zone)
+            async with self.held(old), self.held(new):
+                old.kill()
+                self.world.controls[self.world.controls.index(old)] = new
+                await asyncio.sleep(self.random.uniform(0.5, 2))
+                new.start()
+            await self.new_settings()
+            await self.world.wait_control(20)
+            await asyncio.sleep(CATCH_UP)
+
+    async def lose_all_disks(self):
+        """More than any page allows: for the check that the rules can be seen to break."""
+        for machine in self.world.machines:
+            machine.kill()
+        for machine in self.world.controls:
+            machine.lose_disk()
+        for machine in self.world.machines:
+            machine.start(first_start=True)
+
+    async def new_settings(self):
+        for machine in self.world.machines:
+            machine.hang_up()
+            await asyncio.sleep(0.02)
+
+    async def fill_disk(self):
+        machine = self.random.choice(self.world.controls)
+        async with self.held(machine):
+            machine.fill_disk()
+            await asyncio.sleep(self.random.uniform(1, 5))
+            machine.free_disk()
+
+    # Links.
+    async def for_a_while(self):
+        await asyncio.sleep(self.random.uniform(1, 6))
+
+    def split_off_control(self):
+        one = self.random.choice(self.world.controls)
+        return [one.internal_address], [m.internal_address for m in self.world.controls if m is not one]
+
+    async def cut_control(self):
+        self.world.proxy.cut(*self.split_off_control())
+        await self.for_a_while()
+        self.world.proxy.heal()
+
+    async def cut_control_one_way(self):
+        one, others = self.split_off_control()
+        ways = (one, others) if self.random.random() < 0.5 else (others, one)
+        self.world.proxy.cut_one_way(*ways)
+        await self.for_a_while()
+        self.world.proxy.heal()
+
+    async def cut_balancer(self):
+        """A balancer names itself by its second internal port."""
+        machine = self.random.choice(self.world.balancers)
+        self.world.proxy.cut([f"{machine.ip}:7721"], [m.internal_address for m in self.world.controls])
+        await self.for_a_while()
+        self.world.proxy.heal()
+
+    async def delay_messages(self):
+        self.world.proxy.delay = self.random.uniform(0.02, 0.12)
+        await self.for_a_while()
+        self.world.proxy.delay = 0.0
+
+    async def reset_connections(self):
+        machine = self.random.choice(self.world.controls)
+        for _ in range(3):
+            self.world.proxy.reset_connections([machine.internal_address])
+            await asyncio.sleep(0.3)
+
+    async def lose_packets(self):
+        self.world.loss = self.random.uniform(0.005, 0.04)
+        await self.for_a_while()
+        self.world.loss = 0.0
+
+    # Configuration.
+    async def change_configuration(self):
+        self.world.operator.change()
+        await self.world.operator.submit()
+
+    async def storm(self):
+        for _ in range(6):
+            await self.change_configuration()
+            await asyncio.sleep(0.2)
+
+    async def race(self):
+        """Two versions at once: the higher one holds."""
+        operator = self.world.operator
+        operator.change()
+        first = asyncio.create_task(operator.submit())
+        await asyncio.sleep(0)
+        operator.change()
+        await asyncio.gather(first, operator.submit())
+
+    async def lost_answers(self):
+        self.world.operator.loses_answers = 0.7
+        await self.change_configuration()
+        await self.change_configuration()
+        self.world.operator.loses_answers = 0.0
+
+    async def invalid_configuration(self):
+        await self.world.operator.submit_invalid()
+
+    # Targets.
+    def some_target(self):
+        ready = [t for t in self.world.targets if t.state == "ready" and self.has_peers(t)]
+        return self.random.choice(ready) if ready else None
+
+    def has_peers(self, target):
+        return sum(t.service == target.service and t.state == "ready" for t in self.world.targets) > 2
+
+    async def release(self, says_draining=True):
+        """The new one starts first, then the old one leaves."""
+        old = self.some_target()
+        if old is not None:
+            await self.world.start_target(old.service, old.zone)
+            await asyncio.sleep(0.5)
+            await old.leave(says_draining)
+
+    async def leave_without_notice(self):
+        await self.release(says_draining=False)
+
+    async def crash_target(self):
+        old = self.some_target()
+        if old is not None:
+            old.end()
+            await asyncio.sleep(1)
+            await self.world.start_target(old.service, old.zone)
+
+    async def reuse_address(self):
+        """A target ends, and a target of the other service gets its address."""
+        old = self.some_target()
+        if old is None:
+            return
+        await self.world.start_target(old.service, old.zone)
+        if self.random.random() < 0.5:
+            await old.leave()
+        else:
+            old.end()
+        await asyncio.sleep(REUSE_AFTER)
+        other = "archive" if old.service == "main" else "main"
+        await self.world.start_target(other, old.zone, old.address)
+
+    async def slow_target(self):
+        target = self.some_target()
+        if target is not None:
+            target.slowness = 5
+            await self.for_a_while()
+            target.slowness = 1
--- /dev/null
+++ b/tests/platform/soak/http_call.py
@@ -0,0 +1,54 @@
+"""Calls to the system's control processes, as the platform's callers make them."""
+
+import asyncio
+
+TIMEOUT = 1.0
+MAX_REDIRECTS = 2
+
+
+async def once(address, method, path, body="", timeout=TIMEOUT, answer_is_lost=False):
+    """Status, location and body of one call; None without a clear answer."""
+    try:
+        return await asyncio.wait_for(_call(address, method, path, body, answer_is_lost), timeout)
+    except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError, IndexError):
+        return None
+
+
+async def _call(address, method, path, body, answer_is_lost):
+    host, port = address.rsplit(":", 1)
+    reader, writer = await asyncio.open_connection(host, int(port))
+    try:
+        raw = body.encode()
+        head = (f"{method} {path} HTTP/1.1\r\nHost: {address}\r\nContent-Type: application/json\r\n"
+                f"Content-Length: {len(raw)}\r\nConnection: close\r\n\r\n")
+        writer.write(head.encode() + raw)
+        await writer.drain()
+        answer = await reader.read()
+        if answer_is_lost:
+            return None
+        head, _, rest = answer.partition(b"\r\n\r\n")
+        lines = head.decode().split("\r\n")
+        fields = {name.lower(): value.strip() for name, _, value in (line.partition(":") for line in lines[1:])}
+        return int(lines[0].split()[1]), fields.get("location"), rest.decode()
+    finally:
+        writer.close()
+
+
+async def following(address, method, path, body="", timeout=TIMEOUT, answer_is_lost=False):
+    """The same, following redirects."""
+    for _ in range(MAX_REDIRECTS + 1):
+        answer = await once(address, method, path, body, timeout, answer_is_lost)
+        if answer is None or answer[0] != 307 or not answer[1]:
+            return answer
+        address, _, rest = answer[1].removeprefix("http://").partition("/")
+        path = "/" + rest
+    return None
+
+
+async def at_any(addresses, method, path, body, random):
+    """Asks node after node, in random order; True when one acknowledged."""
+    for address in random.sample(addresses, len(addresses)):
+        answer = await following(address, method, path, body)
+        if answer is not None and 200 <= answer[0] < 300:
+            return True
+    return False
--- /dev/null
+++ b/tests/platform/soak/machine.py
@@ -0,0 +1,129 @@
+"""A machine of the system: its settings, its process, its disk, and what can be done to them from outside."""
+
+import asyncio
+import os
+import resource
+import shutil
+import signal
+import subprocess
+
+from promises import now
+
+ROLES = {"balancer": "gorsevalve-platform-balancer", "control": "gorsevalve-platform-control"}
+STOP_TIME = 6
+LOADING_TIME = 0.5
+INTERNAL_PORT = 7720
+
+
+class Machine:
+    """One process with its files."""
+
+    def __init__(self, world, role, name, zone, ip, listen_ip=None):
+        self.world = world
+        self.role = role
+        self.name = name
+        self.zone = zone
+        self.ip = ip
+        self.listen_ip = listen_ip or ip
+        self.folder = world.folder / name
+        self.data = self.folder / "data"
+        self.data.mkdir(parents=True, exist_ok=True)
+        self.popen = None
+        self.stop_wanted = True
+        self.is_frozen = False
+        self.started_at = 0.0
+        # Held by the action that handles this machine, so that no process is started twice.
+        self.lock = asyncio.Lock()
+
+    @property
+    def internal_address(self):
+        return f"{self.ip}:{INTERNAL_PORT}"
+
+    @property
+    def control_address(self):
+        return f"{self.ip}:{self.world.control_port}"
+
+    def settings(self, first_start):
+        """The settings file that the platform would write after deploy/node.toml."""
+        is_balancer = self.role == "balancer"
+        seeds = ", ".join(f'"{m.control_address}"' for m in self.world.seeds())
+        fields = {
+            "name": f'"{self.name}"', "zone": f'"{self.zone}"', "ip": f'"{self.ip}"',
+            "listen_ip": f'"{self.listen_ip}"', "first_internal_port": INTERNAL_PORT,
+            "datagrams": f'"{self.ip}:{self.world.datagram_port}"' if is_balancer else '""',
+            "readiness": f'"{self.ip}:{self.world.readiness_port}"' if is_balancer else '""',
+            "control": '""' if is_balancer else f'"{self.control_address}"', "seeds": f"[{seeds}]",
+            "first_start": str(first_start).lower(), "data_folder": f'"{self.data}"',
+            "announce_interval_ms": 1200, "stop_time_s": STOP_TIME, "forwarding": '"echo"'}
+        return "".join(f"{name} = {value}\n" for name, value in fields.items())
+
+    def write_settings(self, first_start=False):
+        (self.folder / "node.toml").write_text(self.settings(first_start))
+
+    def start(self, first_start=False):
+        if self.is_running:
+            raise AssertionError(f"{self.name} runs already")
+        self.write_settings(first_start)
+        environment = dict(os.environ, GORSEVALVE_NODE_FILE=str(self.folder / "node.toml"))
+        with open(self.folder / "log", "ab") as log:
+            # Signals that Python ignores stay ignored: a refused write is an error, not an end.
+            self.popen = subprocess.Popen([str(self.world.build / ROLES[self.role])], stdout=log, stderr=log,
+                                          env=environment, restore_signals=False)
+        self.stop_wanted = False
+        self.started_at = now()
+
+    @property
+    def is_running(self):
+        return self.popen is not None and self.popen.poll() is None
+
+    def ended_by_itself(self):
+        return not self.stop_wanted and not self.is_running
+
+    def kill(self):
+        """Ends the process at once."""
+        self.stop_wanted = True
+        if self.is_running:
+            self.popen.kill()
+        self.popen.wait()
+        self.is_frozen = False
+
+    def terminate(self):
+        """Asks the process to end; `has_stopped` or `kill` follows."""
+        self.stop_wanted = True
+        if self.is_running:
+            self.popen.send_signal(signal.SIGTERM)
+
+    def freeze(self):
+        if self.is_running:
+            self.popen.send_signal(signal.SIGSTOP)
+            self.is_frozen = True
+
+    def thaw(self):
+        if self.is_running:
+            self.popen.send_signal(signal.SIGCONT)
+        self.is_frozen = False
+
+    def hang_up(self):
+        """The settings were written anew."""
+        self.write_settings()
+        # Before its first instruction a process cannot ignore the signal, whoever sends it.
+        if self.is_running and now() - self.started_at > LOADING_TIME:
+            self.popen.send_signal(signal.SIGHUP)
+
+    def fill_disk(self):
+        """From now on the disk takes no octet more."""
+        sizes = [path.stat().st_size for path in self.data.rglob("*") if path.is_file()]
+        self._limit_files(max(sizes, default=0))
+
+    def free_disk(self):
+        self._limit_files(resource.RLIM_INFINITY)
+
+    def _limit_files(self, octets):
+        if self.is_running:
+            hard = resource.prlimit(self.popen.pid, resource.RLIMIT_FSIZE)[1]
+            resource.prlimit(self.popen.pid, resource.RLIMIT_FSIZE, (octets, hard))
+
+    def lose_disk(self):
+        """To be called while the process is down."""
+        shutil.rmtree(self.data)
+        self.data.mkdir()
--- /dev/null
+++ b/tests/platform/soak/operator_calls.py
@@ -0,0 +1,115 @@
+"""The operator: submits whole configurations, loses answers, reads back what is held."""
+
+import asyncio
+import json
+
+import http_call
+from promises import APPLY, now
+
+SERVICES = ("main", "archive")
+FIRST_EXTRA_ROUTE = 5000
+
+
+def frontend_text(frontend):
+    return frontend[0], f"/{frontend[1]}/"
+
+
+class Operator:
+    """Holds the configuration that it wants, and the one that was acknowledged last."""
+
+    def __init__(self, world):
+        self.world = world
+        self.version = 0
+        self.extra = []
+        self.loses_answers = 0.0
+        self.counter = 0
+
+    def routes(self):
+        """Services that each frontend allows; None stands for no route."""
+        world = self.world
+        routes = {world.feed_frontend: {"main", "archive"}, world.update_frontend: {"main"},
+                  world.download_frontend: {"archive"}}
+        routes.update({frontend: {"archive"} for frontend in self.extra})
+        return routes
+
+    def body(self, version):
+        routes = []
+        for frontend, services in self.routes().items():
+            host, prefix = frontend_text(frontend)
+            route = {"name": f"r-{frontend[1]}", "host": host, "path_prefix": prefix, "type": "idempotent",
+                     "timeout_ms": 2000, "aim_ms": 100, "priority": 1, "attempts": 1}
+            if len(services) == 1:
+                route["service"] = next(iter(services))
+            else:
+                route["backends"] = [{"service": "main", "weight": 90}, {"service": "archive", "weight": 10}]
+            routes.append(route)
+        services = [{"name": name, "health_check": "/health", "max_conns": 2000, "protocol": "h1", "tls": False}
+                    for name in SERVICES]
+        limits = {"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000,
+                  "idle_timeout_ms": 15000}
+        return json.dumps({"version": version, "routes": routes, "services": services, "limits": limits})
+
+    def change(self):
+        """Another set of extra routes under a higher version."""
+        self.version += self.world.random.randint(1, 3)
+        self.counter += 1
+        self.extra = self.extra[1:] if len(self.extra) > 3 else self.extra
+        self.extra = self.extra + [(self.world.feed_frontend[0], FIRST_EXTRA_ROUTE + self.counter)]
+
+    async def submit(self, patience=30.0):
+        """Sends the wanted configuration until it is acknowledged; True when it was."""
+        version, body = self.version, self.body(self.version)
+        self.world.promises.on_sent(version, self.routes())
+        begun, pause = now(), 0.1
+        while now() - begun < patience:
+            address = self.world.random.choice(self.world.control_addresses())
+            lost = self.world.random.random() < self.loses_answers
+            answer = await http_call.following(address, "PUT", "/-/config", body, answer_is_lost=lost)
+            if answer is not None and answer[0] == 200:
+                self.world.promises.on_acknowledged(version)
+                return True
+            if answer is not None and answer[0] in (400, 409, 412, 413, 422):
+                self.world.promises.violate("CONFIG", f"version {version} was refused with {answer[0]}")
+                return False
+            await asyncio.sleep(pause)
+            pause = min(2 * pause, 1.0)
+        return False
+
+    async def submit_invalid(self):
+        """Something invalid must not be acknowledged."""
+        text = self.body(self.version + 1)
+        for body in (text[:len(text) // 2], text.replace('"service": "archive"', '"service": "nobody"')):
+            for address in self.world.control_addresses():
+                answer = await http_call.following(address, "PUT", "/-/config", body)
+                if answer is not None and answer[0] == 200:
+                    self.world.promises.violate("CONFIG", "something invalid was acknowledged")
+
+    async def read(self, address):
+        """Version that a node answers with; None when it cannot say."""
+        sent_at = now()
+        answer = await http_call.following(address, "GET", "/-/config")
+        if answer is None or answer[0] != 200:
+            return None
+        held = json.loads(answer[2])
+        routes = {}
+        for route in held["routes"]:
+            frontend = (route["host"], int(route["path_prefix"].strip("/")))
+            routes[frontend] = {part["service"] for part in route.get("backends", [])} or {route["service"]}
+        self.world.promises.on_read(sent_at, held["version"], routes)
+        return held["version"]
+
+    async def read_forever(self):
+        while True:
+            await self.read(self.world.random.choice(self.world.control_addresses()))
+            await asyncio.sleep(0.7)
+
+    async def read_at_end(self, patience):
+        """The newest acknowledged version must be held at the end."""
+        begun = now()
+        while now() - begun < patience:
+            for address in self.world.control_addresses():
+                version = await self.read(address)
+                if version is not None and version >= self.world.promises.acknowledged_before(now() - APPLY):
+                    return
+            await asyncio.sleep(0.3)
+        self.world.promises.violate("CONFIG", "no node answers a read of the configuration at the end")
--- /dev/null
+++ b/tests/platform/soak/router.py
@@ -0,0 +1,44 @@
+"""The platform's routers: they ask each balancer whether it is ready, and hash flows over those that are."""
+
+import asyncio
+import zlib
+
+import http_call
+
+PROBE_INTERVAL = 0.5
+MISSES_BEFORE_OUT = 2
+
+
+class Router:
+    """Chooses a balancer for each packet of a caller."""
+
+    def __init__(self, world):
+        self.world = world
+        self.misses = {}
+
+    async def probe_forever(self, machine):
+        """Asks one balancer for ever."""
+        self.misses.setdefault(machine.ip, MISSES_BEFORE_OUT)
+        while True:
+            answer = await http_call.once(f"{machine.ip}:{self.world.readiness_port}", "GET", "/-/ready",
+                                          timeout=PROBE_INTERVAL)
+            is_in = answer is not None and answer[0] == 200
+            self.misses[machine.ip] = 0 if is_in else self.misses[machine.ip] + 1
+            await asyncio.sleep(PROBE_INTERVAL)
+
+    def is_in(self, machine):
+        return self.misses.get(machine.ip, MISSES_BEFORE_OUT) < MISSES_BEFORE_OUT
+
+    def choose(self, zone, source, destination):
+        """Address of the balancer for a flow: steady hashing over those of the zone that are in."""
+        zones = [zone] + [other for other in self.world.zones if other != zone]
+        for candidate in zones:
+            machines = [m for m in self.world.balancers if m.zone == candidate]
+            ready = [m for m in machines if self.is_in(m)]
+            if ready:
+                usable = machines if len(ready) * 2 < len(machines) else ready
+                break
+        else:
+            usable = self.world.balancers
+        key = f"{source}>{destination}".encode()
+        return max(usable, key=lambda m: zlib.crc32(m.ip.encode() + key)).ip if usable else None
--- /dev/null
+++ b/tests/platform/soak/soak.py
@@ -0,0 +1,145 @@
+#!/usr/bin/env python3
+"""Runs the programs for the users' machines as real processes under random faults, put in from outside, and
+checks the platform's rules by what callers, targets and the operator see.
+
+    tests/platform/soak/soak.py --runs 4 --seconds 40           # fresh seeds
+    tests/platform/soak/soak.py --seed 17                       # one seed
+    tests/platform/soak/soak.py --planned                       # planned work only: no request may fail
+    tests/platform/soak/soak.py --known                         # the seeds in known_seeds.txt
+
+Takes about 20 processes and 300 MB. It ends only processes that it started.
+"""
+
+import argparse
+import asyncio
+import pathlib
+import random
+import shutil
+import sys
+
+HERE = pathlib.Path(__file__).resolve().parent
+ROOT = HERE.parent.parent.parent
+sys.path[:0] = [str(HERE), str(ROOT / "scripts")]
+
+from fault_proxy import FaultProxy  # noqa: E402  (the path must be set first)
+from faults import Faults  # noqa: E402
+from promises import now  # noqa: E402
+from world import World  # noqa: E402
+
+RECOVERY = 12.0
+LAST_LOOK = 4.0
+WARM_UP = 5.0
+SHORT_PAUSE = 2.0
+# Long enough for the rules that hold only where nothing was disturbed for a while.
+LONG_PAUSE = 7.0
+LONG_PAUSE_SHARE = 0.2
+FIRST_NETWORK = 100
+
+
+async def keep_acting(world, faults, actions, until):
+    """One action after the other, with pauses."""
+    while now() < until:
+        action = world.random.choice(actions)
+        print(f"{now() - world.began:7.1f} s  {action.__name__}", flush=True)
+        planned = action in faults.planned()
+        if not planned:
+            world.promises.disturb()
+        try:
+            await action()
+        finally:
+            if not planned:
+                world.promises.calm()
+        is_long = world.random.random() < LONG_PAUSE_SHARE
+        await asyncio.sleep(LONG_PAUSE if is_long else world.random.uniform(0.1, SHORT_PAUSE))
+
+
+async def last_look(world, planned_only):
+    """After everything is healed and RECOVERY has passed, each request is served."""
+    await asyncio.sleep(RECOVERY if not planned_only else 1.0)
+    begun = now()
+    await asyncio.sleep(LAST_LOOK)
+    late = [failure for failure in world.failures if planned_only or failure[0] >= begun]
+    if late:
+        world.promises.violate("RECOVER", f"{len(late)} requests failed while nothing was wrong: {late[:3]}")
+    if world.promises.counts["feed served"] == 0:
+        world.promises.violate("RECOVER", "no feed was served")
+    await world.operator.read_at_end(10)
+
+
+async def play(world, arguments):
+    world.began = now()
+    await world.start()
+    faults = Faults(world)
+    until = now() + arguments.seconds
+    if arguments.sabotage:
+        until = now()
+        await asyncio.sleep(WARM_UP)
+        await faults.lose_all_disks()
+    planned = keep_acting(world, faults, faults.planned(), until)
+    streams = 0 if arguments.planned else world.random.choice((1, 2))
+    unplanned = [keep_acting(world, faults, faults.unplanned(), until) for _ in range(streams)]
+    await asyncio.gather(planned, *unplanned)
+    await last_look(world, arguments.planned)
+
+
+def run(seed, arguments):
+    """One run; True when no rule was broken. The folder with the logs stays when one was."""
+    folder = pathlib.Path(arguments.folder) / f"seed-{seed}"
+    shutil.rmtree(folder, ignore_errors=True)
+    folder.mkdir(parents=True)
+    proxy = FaultProxy(seed)
+    controls = random.Random(seed).choice((3, 5))
+    world = World(seed, folder, pathlib.Path(arguments.build), FIRST_NETWORK + seed % 100, proxy, controls)
+    proxy.start()
+
+    async def act():
+        try:
+            await play(world, arguments)
+        finally:
+            await world.stop()
+
+    try:
+        asyncio.run(act())
+    except RuntimeError as error:
+        world.promises.violate("START", str(error))
+    finally:
+        proxy.stop()
+    counts = ", ".join(f"{name} {count}" for name, count in sorted(world.promises.counts.items()))
+    broken = len(world.promises.violations)
+    print(f"seed {seed}, {controls} replicas: {broken} violations; {counts}", flush=True)
+    (folder / "violations").write_text("\n".join(world.promises.violations) + "\n")
+    if broken == 0:
+        shutil.rmtree(folder)
+    return broken == 0
+
+
+def known_seeds():
+    """Seeds that failed once, each with its cause on the same line."""
+    lines = (HERE / "known_seeds.txt").read_text().splitlines()
+    return [int(line.split()[0]) for line in lines if line and not line.startswith("#")]
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("--build", default=str(ROOT / "build" / "release"))
+    parser.add_argument("--folder", default=str(ROOT / "run" / "soak"))
+    parser.add_argument("--seconds", type=float, default=40)
+    parser.add_argument("--runs", type=int, default=1)
+    parser.add_argument("--seed", type=int)
+    parser.add_argument("--planned", action="store_true")
+    parser.add_argument("--known", action="store_true")
+    parser.add_argument("--sabotage", action="store_true",
+                        help="all disks are lost at once, more than is allowed: violations must be found")
+    arguments = parser.parse_args()
+    seeds = [random.SystemRandom().randrange(1, 1 << 31) for _ in range(arguments.runs)]
+    if arguments.seed is not None:
+        seeds = [arguments.seed]
+    if arguments.known:
+        seeds = known_seeds()
+    results = [run(seed, arguments) for seed in seeds]
+    print(f"{results.count(True)} of {len(results)} runs without a violation")
+    return 0 if all(results) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/platform/soak/world.py
@@ -0,0 +1,168 @@
+"""Everything that takes part in one run: machines of the system, targets, callers, routers, the operator."""
+
+import asyncio
+import itertools
+import random
+
+import http_call
+from caller import DOWNLOAD, FEED, UPDATE, Caller
+from machine import INTERNAL_PORT, Machine
+from operator_calls import Operator
+from promises import Promises, now
+from router import Router
+from target import Target
+
+ZONES = ("zone-a", "zone-b", "zone-c")
+BALANCERS_PER_ZONE = 2
+TARGETS_PER_ZONE = {"main": 2, "archive": 1}
+CALLERS_PER_ZONE = 2
+FEEDS, UPDATES, DOWNLOADS = 4, 3, 1
+TARGET_PORT = 8261
+SEEDS = 3
+
+
+class World:
+    """One deployment on a loopback network of its own, 127.`network`.0.0/16."""
+
+    datagram_port = 8172
+    readiness_port = 8167
+    control_port = 8166
+
+    def __init__(self, seed, folder, build, network, proxy, controls):
+        self.random = random.Random(seed)
+        self.folder = folder
+        self.build = build
+        self.network = network
+        self.proxy = proxy
+        self.zones = ZONES
+        self.promises = Promises()
+        self.router = Router(self)
+        self.operator = Operator(self)
+        self.loss = 0.0
+        self.targets = []
+        self.callers = []
+        self.opened_at = {}
+        self.failures = []
+        self.tasks = []
+        self.numbers = itertools.count(1)
+        self.feed_frontend = ("198.18.0.1", 443)
+        self.update_frontend = ("198.18.0.1", 8080)
+        self.download_frontend = ("198.18.0.2", 443)
+        self.all_machines = []
+        self.controls = [self.make_control(ZONES[i % len(ZONES)]) for i in range(controls)]
+        self.balancers = [Machine(self, "balancer", f"balancer-{zone[-1]}-{i}", zone, self.ip(10, next(self.numbers)))
+                          for zone in ZONES for i in range(BALANCERS_PER_ZONE)]
+        self.all_machines += self.balancers
+
+    def ip(self, group, number):
+        return f"127.{self.network}.{group}.{number}"
+
+    def make_control(self, zone):
+        """A machine that is known by one address and binds its internal port at another; the proxy between."""
+        number = next(self.numbers)
+        machine = Machine(self, "control", f"control-{number}", zone, self.ip(21, number), self.ip(20, number))
+        self.all_machines.append(machine)
+        self.proxy.forward_tcp(machine.internal_address, f"{machine.listen_ip}:{INTERNAL_PORT}")
+        return machine
+
+    def seeds(self):
+        return self.controls[:SEEDS]
+
+    @property
+    def machines(self):
+        return self.controls + self.balancers
+
+    def control_addresses(self):
+        return [machine.control_address for machine in self.controls]
+
+    def is_lost(self):
+        return self.loss > 0 and self.random.random() < self.loss
+
+    def holder_of(self, key):
+        """The living target where a flow is open."""
+        return next((t for t in self.targets if t.is_running and key in t.flows and t.flows[key].is_open), None)
+
+    def on_target_ended(self, target):
+        self.targets.remove(target)
+
+    def spawn(self, coroutine):
+        task = asyncio.create_task(coroutine)
+        self.tasks.append(task)
+        return task
+
+    # Targets.
+    async def start_target(self, service, zone, address=None):
+        address = address or (self.ip(40, next(self.numbers)), TARGET_PORT)
+        target = Target(self, service, address, zone)
+        await target.start()
+        self.targets.append(target)
+        return target
+
+    # The whole.
+    async def start(self):
+        for machine in self.machines:
+            machine.start(first_start=True)
+        self.operator.change()
+        if not await self.operator.submit():
+            raise RuntimeError("the first configuration was not taken")
+        for machine in self.balancers:
+            self.spawn(self.router.probe_forever(machine))
+        for zone in ZONES:
+            for service, count in TARGETS_PER_ZONE.items():
+                for _ in range(count):
+                    await self.start_target(service, zone)
+        await self.wait_ready()
+        await self.start_callers()
+        self.spawn(self.operator.read_forever())
+        self.spawn(self.watch_ends())
+
+    async def start_callers(self):
+        for zone in ZONES:
+            for _ in range(CALLERS_PER_ZONE):
+                caller = Caller(self, self.ip(30, next(self.numbers)), zone)
+                await caller.start()
+                self.callers.append(caller)
+                for kind, count, frontend in ((FEED, FEEDS, self.feed_frontend),
+                                              (UPDATE, UPDATES, self.update_frontend),
+                                              (DOWNLOAD, DOWNLOADS, self.download_frontend)):
+                    for _ in range(count):
+                        self.spawn(caller.use_forever(kind, frontend))
+
+    async def wait_ready(self, patience=20.0):
+        begun = now()
+        while not all(self.router.is_in(machine) for machine in self.balancers):
+            if now() - begun > patience:
+                raise RuntimeError("the balancers did not become ready")
+            await asyncio.sleep(0.1)
+
+    async def watch_ends(self):
+        """No process ends by itself."""
+        while True:
+            for machine in self.machines:
+                if machine.ended_by_itself():
+                    self.promises.violate("FAULT", f"{machine.name} ended with {machine.popen.returncode}")
+                    machine.start()
+            await asyncio.sleep(0.2)
+
+    async def is_serving(self, address):
+        answer = await http_call.following(address, "GET", "/-/config")
+        return answer is not None and answer[0] == 200
+
+    async def wait_control(self, patience):
+        """Waits until each control process answers reads; False when one does not in time."""
+        begun = now()
+        while now() - begun < patience:
+            if all([await self.is_serving(address) for address in self.control_addresses()]):
+                return True
+            await asyncio.sleep(0.2)
+        return False
+
+    async def stop(self):
+        for task in self.tasks:
+            task.cancel()
+        for target in list(self.targets):
+            target.end()
+        for machine in self.all_machines:
+            if machine.popen is not None:
+                machine.thaw()
+                machine.kill()
--- /dev/null
+++ b/tests/platform/test_programs.py
@@ -0,0 +1,93 @@
+"""The programs for the users' machines as real processes: start, reload, stop, bad settings."""
+
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+import threading
+import unittest
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+BUILD = pathlib.Path(os.environ.get("GORSEVALVE_BUILD", ROOT / "build" / "release"))
+PATIENCE = 60
+USAGE_ERROR = 1
+
+SETTINGS = """
+name = "edge-1"
+zone = "z"
+ip = "127.90.1.1"
+first_internal_port = 7720
+datagrams = "127.90.1.1:8172"
+readiness = "127.90.1.1:8167"
+control = ""
+seeds = ["127.90.1.2:8166"]
+first_start = true
+data_folder = ""
+announce_interval_ms = 1200
+stop_time_s = 2
+forwarding = "echo"
+"""
+
+
+class ProgramTest(unittest.TestCase):
+    """Each test starts one balancer without any replica."""
+
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = pathlib.Path(folder.name) / "node.toml"
+
+    def start(self):
+        process = subprocess.Popen([str(BUILD / "gorsevalve-platform-balancer")], text=True,
+                                   stdout=subprocess.PIPE, stderr=subprocess.PIPE,
+                                   env=dict(os.environ, GORSEVALVE_NODE_FILE=str(self.path)))
+        self.addCleanup(self.end, process)
+        return process
+
+    def end(self, process):
+        if process.poll() is None:
+            process.kill()
+        process.communicate(timeout=PATIENCE)
+
+    def wait_for_event(self, process, event):
+        """Reads log lines until one with the event comes; a guard ends the process when it does not."""
+        guard = threading.Timer(PATIENCE, process.kill)
+        guard.start()
+        try:
+            for line in process.stdout:
+                if f'"event":"{event}"' in line:
+                    return True
+        finally:
+            guard.cancel()
+        return False
+
+    def test_a_reload_signal_during_the_start_does_not_end_the_process(self):
+        # Found by the soak (seed 111): SIGHUP came before the handlers were set, and ended the process.
+        os.mkfifo(self.path)
+        process = self.start()
+        with open(self.path, "w", encoding="utf-8") as settings:
+            # The process waits in its read of the settings now.
+            process.send_signal(signal.SIGHUP)
+            settings.write(SETTINGS)
+        self.assertTrue(self.wait_for_event(process, "started"), process.poll())
+
+    def test_a_planned_stop_ends_with_success(self):
+        self.path.write_text(SETTINGS)
+        process = self.start()
+        self.assertTrue(self.wait_for_event(process, "started"))
+        process.send_signal(signal.SIGTERM)
+        self.assertTrue(self.wait_for_event(process, "stopped"))
+        self.assertEqual(process.wait(PATIENCE), 0)
+
+    def test_bad_settings_are_refused_with_file_and_field(self):
+        self.path.write_text(SETTINGS.replace('"127.90.1.1:8172"', '"nowhere"'))
+        process = self.start()
+        _, errors = process.communicate(timeout=PATIENCE)
+        self.assertEqual(process.returncode, USAGE_ERROR)
+        self.assertIn("node.toml: datagrams:", errors)
+
+
+if __name__ == "__main__":
+    sys.exit(unittest.main())
