Let balancers prefer control replicas in their own zone

Cause: bytes between zones are dear at Cascadia. On its grown site each of 80 balancers talks to one of 8 replicas by a hash of its address, so three quarters of the heartbeats, replies and pushed changes crossed zones.

Change: a replica tells its zone in its replies; a balancer's home is a replica of its zone, by rendezvous hashing among those, or among all where the zone has none. Replicas whose zone is not known are asked once in 5 s, and so is the home while another one is chosen.

Tests: unit.control_client (own zone preferred, spread within it, a silent replica keeps nobody away). unit and sim pass.

--- a/src/core/balancer/control_client.cc
+++ b/src/core/balancer/control_client.cc
@@ -9,9 +9,9 @@
 namespace {
 
 constexpr std::size_t kHeartbeatsRemembered = 64;
-/// Pause between two questions to the replica that this process should be at, while it is at
-/// another one.
-constexpr Duration kHomeProbeInterval = std::chrono::seconds(5);
+/// Pause between two questions to replicas whose zone is not known, and to the one that this
+/// process should be at while it is at another one.
+constexpr Duration kProbeInterval = std::chrono::seconds(5);
 /// A process that is not admitted for this long was perhaps admitted and removed before it heard of
 /// it; under its present incarnation it would never be admitted again.
 constexpr Duration kAdmissionTimeout = std::chrono::seconds(20);
@@ -21,7 +21,7 @@
 ControlClient::ControlClient(const Member& self, std::vector<Endpoint> replicas, FleetState stored,
                              ControlClientOutput& output)
     : self_(self),
-      choice_(self.address, std::move(replicas)),
+      choice_(self.address, self.zone, std::move(replicas)),
       output_(output),
       fleet_(std::move(stored)),
       digest_(fleet_digest(fleet_)) {}
@@ -62,6 +62,7 @@
 }
 
 void ControlClient::judge_replica(const Endpoint& from, const HeartbeatReply& reply, Instant now) {
+  choice_.set_zone(from, reply.zone);
   const bool was_searching = choice_.is_searching();
   if (!reply.is_current) {
     // This replica may be cut off from the others: all are asked, not sooner than usual.
@@ -175,9 +176,20 @@
     return;
   }
   send_heartbeat(choice_.chosen(), true, now);
-  if (now >= next_home_probe_ && choice_.home() != choice_.chosen()) {
-    next_home_probe_ = now + kHomeProbeInterval;
-    send_heartbeat(choice_.home(), false, now);
+  if (now >= next_probe_) {
+    next_probe_ = now + kProbeInterval;
+    probe(now);
+  }
+}
+
+void ControlClient::probe(Instant now) {
+  std::vector<Endpoint> asked = choice_.strangers();
+  const Endpoint home = choice_.home();
+  if (home != choice_.chosen() && std::find(asked.begin(), asked.end(), home) == asked.end()) {
+    asked.push_back(home);
+  }
+  for (const auto& replica : asked) {
+    send_heartbeat(replica, false, now);
   }
 }
 
--- a/src/core/balancer/control_client.h
+++ b/src/core/balancer/control_client.h
@@ -83,6 +83,8 @@
   /// Reports to the chosen replica, or asks all of them while there is none.
   void send_heartbeats(Instant now);
   void send_heartbeat(const Endpoint& replica, bool wants_update, Instant now);
+  /// Looks for a replica that would be better than the chosen one.
+  void probe(Instant now);
   [[nodiscard]] bool is_observer() const { return self_.state == MemberState::kObserver; }
   /// Rejoins as another member when admission does not come.
   void check_admission(Instant now);
@@ -98,7 +100,7 @@
   Instant next_heartbeat_;
   /// When the chosen replica answered last.
   Instant last_heard_;
-  Instant next_home_probe_;
+  Instant next_probe_;
   Instant lease_until_;
   bool may_stop_ = false;
   ControlClientTiming timing_;
--- a/src/core/balancer/replica_choice.cc
+++ b/src/core/balancer/replica_choice.cc
@@ -1,6 +1,7 @@
 #include "core/balancer/replica_choice.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "core/routing/bounded_rendezvous.h"
@@ -16,8 +17,8 @@
 
 }  // namespace
 
-ReplicaChoice::ReplicaChoice(const Endpoint& self, std::vector<Endpoint> seeds)
-    : self_(self), seeds_(std::move(seeds)) {
+ReplicaChoice::ReplicaChoice(const Endpoint& self, std::string zone, std::vector<Endpoint> seeds)
+    : self_(self), zone_(std::move(zone)), seeds_(std::move(seeds)) {
   collect_candidates();
 }
 
@@ -54,15 +55,30 @@
   collect_candidates();
 }
 
+void ReplicaChoice::set_zone(const Endpoint& replica, const std::string& zone) {
+  zones_[replica] = zone;
+}
+
+std::vector<Endpoint> ReplicaChoice::strangers() const {
+  std::vector<Endpoint> result;
+  std::copy_if(known().begin(), known().end(), std::back_inserter(result),
+               [this](const Endpoint& replica) { return !zones_.contains(replica); });
+  return result;
+}
+
 Endpoint ReplicaChoice::home() const {
-  const std::vector<Endpoint>& known = replicas_.empty() ? seeds_ : replicas_;
-  const auto score = [this](const Endpoint& replica) {
-    return rendezvous_score(packed(self_) ^ (packed(replica) << 16U), 0, kHomeSalt);
+  const auto is_near = [this](const Endpoint& replica) {
+    const auto found = zones_.find(replica);
+    return !zone_.empty() && found != zones_.end() && found->second == zone_;
+  };
+  const auto score = [&](const Endpoint& replica) {
+    const std::uint64_t key = packed(self_) ^ (packed(replica) << 16U);
+    return std::pair(is_near(replica), rendezvous_score(key, 0, kHomeSalt));
   };
   const auto best =
-      std::max_element(known.begin(), known.end(),
+      std::max_element(known().begin(), known().end(),
                        [&](const Endpoint& a, const Endpoint& b) { return score(a) < score(b); });
-  return best == known.end() ? chosen_ : *best;
+  return best == known().end() ? chosen_ : *best;
 }
 
 }  // namespace gorsevalve
--- a/src/core/balancer/replica_choice.h
+++ b/src/core/balancer/replica_choice.h
@@ -1,8 +1,11 @@
-/// Which control replica an observer talks to. It keeps to one replica that is current, spread over
-/// the replicas by its own address; without one it searches, that is, asks all of them at once, so
-/// that replicas without power or behind a cut cost no time. A state machine without sockets.
+/// Which control replica a balancer talks to. It keeps to one replica that is current: its home,
+/// spread by its own address over the replicas of its zone, since bytes between zones are dear.
+/// Without one it searches, that is, asks all of them at once, so that replicas without power or
+/// behind a cut cost no time. A state machine without sockets.
 #pragma once
 
+#include <map>
+#include <string>
 #include <vector>
 
 #include "model/endpoint.h"
@@ -11,8 +14,8 @@
 
 class ReplicaChoice {
  public:
-  /// Begins with a search among the seeds.
-  ReplicaChoice(const Endpoint& self, std::vector<Endpoint> seeds);
+  /// Begins with a search among the seeds. `zone` may be empty: then all replicas are alike.
+  ReplicaChoice(const Endpoint& self, std::string zone, std::vector<Endpoint> seeds);
 
   [[nodiscard]] bool is_searching() const { return searching_; }
   /// The replica that is asked; meaningful while there is no search.
@@ -27,14 +30,25 @@
   /// Takes the replicas that a current one named. Searches when the chosen one is not among them.
   void take_replicas(const std::vector<Endpoint>& replicas);
   void set_seeds(std::vector<Endpoint> seeds);
-  /// The replica that this observer should be at, so that observers spread evenly (rendezvous
-  /// hashing); the chosen one when none is known.
+  /// A replica told its zone.
+  void set_zone(const Endpoint& replica, const std::string& zone);
+  /// The replica that this balancer should be at, so that balancers spread evenly (rendezvous
+  /// hashing) over the replicas of their zone, or over all where the zone has none; the chosen one
+  /// when none is known.
   [[nodiscard]] Endpoint home() const;
+  /// Replicas whose zone is not known yet.
+  [[nodiscard]] std::vector<Endpoint> strangers() const;
 
  private:
   void collect_candidates();
 
+  [[nodiscard]] const std::vector<Endpoint>& known() const {
+    return replicas_.empty() ? seeds_ : replicas_;
+  }
+
   Endpoint self_;
+  std::string zone_;
+  std::map<Endpoint, std::string> zones_;
   std::vector<Endpoint> seeds_;
   std::vector<Endpoint> replicas_;
   std::vector<Endpoint> candidates_;
--- a/src/core/control/control_node.cc
+++ b/src/core/control/control_node.cc
@@ -62,6 +62,7 @@
                    (!is_member && heartbeat.member.state == MemberState::kLeaving);
   reply.is_current = replica_->is_current(now);
   reply.revision = state_.fleet().revision;
+  reply.zone = zone_;
   for (const auto& replica : replica_->replicas().replicas) {
     reply.replicas.push_back(replica.address);
   }
--- a/src/core/control/control_node.h
+++ b/src/core/control/control_node.h
@@ -106,6 +106,8 @@
   void set_seeds(const std::vector<Endpoint>& seeds) { replica_->set_seeds(seeds); }
   /// Hands leadership over before a planned stop.
   void prepare_stop(Instant now) { replica_->transfer_leadership(now); }
+  /// Told to balancers, which prefer replicas in their own zone.
+  void set_zone(std::string zone) { zone_ = std::move(zone); }
   void set_registration_timing(const RegistrationTiming& timing) {
     registrations_ = RegistrationMonitor(timing);
   }
@@ -135,6 +137,7 @@
   [[nodiscard]] Duration lease_left(Instant now) const;
 
   ReplicaConfig config_;
+  std::string zone_;
   ControlFaults faults_;
   ControlState state_;
   ControlOutput& output_;
--- a/src/core/control/node_messages.h
+++ b/src/core/control/node_messages.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <string>
 #include <variant>
 #include <vector>
 
@@ -41,10 +42,12 @@
   Revision revision = 0;
   /// Where replicas listen, for the time after this one.
   std::vector<Endpoint> replicas{};
+  /// Zone of the replica that answers; empty when it does not know.
+  std::string zone{};
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive& sequence& lease_ms& may_stop& is_current& revision& replicas;
+    archive& sequence& lease_ms& may_stop& is_current& revision& replicas& zone;
   }
 };
 
--- a/src/tasks/control_task.cc
+++ b/src/tasks/control_task.cc
@@ -92,6 +92,7 @@
   if (!listening) {
     return tl::unexpected(listening.error());
   }
+  self.node_->set_zone(self.config_.zone);
   self.node_->set_registration_timing(self.config_.registrations);
   loop.every(self.config_.tick_interval, [&self] { self.on_tick(); });
   return task;
--- a/src/tasks/control_task.h
+++ b/src/tasks/control_task.h
@@ -22,6 +22,8 @@
   std::optional<Endpoint> listen;
   /// All replicas of the cluster, this one included.
   std::vector<Endpoint> replicas;
+  /// Where this process runs; may be empty.
+  std::string zone;
   std::string cluster;
   ClusterKeys keys;
   std::uint64_t incarnation = 0;
--- a/tests/unit/test_control_client.cc
+++ b/tests/unit/test_control_client.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <string>
 
 #include "core/balancer/control_client.h"
 
@@ -93,6 +94,28 @@
   return reply;
 }
 
+/// Lets an observer run for three seconds among replicas that are all current and tell their zones;
+/// the first one answers first. Gives the one that it asks at the end.
+Endpoint settle(Observer& test, const std::map<Endpoint, std::string>& zones) {
+  std::size_t answered = 0;
+  Instant now = kStart;
+  for (int turn = 0; turn < 6; ++turn) {
+    test.client.on_tick(0, now);
+    for (; answered < test.output.asked.size(); ++answered) {
+      const Endpoint replica = test.output.asked[answered];
+      const auto zone = zones.find(replica);
+      if (zone != zones.end()) {
+        HeartbeatReply reply = current_reply(test.output.heartbeats[answered], 0);
+        reply.zone = zone->second;
+        test.client.on_message(replica, reply, now + milliseconds(1));
+      }
+    }
+    now += milliseconds(600);
+  }
+  test.client.on_tick(0, now);
+  return test.output.asked.back();
+}
+
 }  // namespace
 
 TEST_SUITE("control_client") {
@@ -257,22 +280,29 @@
     std::map<Endpoint, int> chosen;
     for (std::uint16_t port = 1; port <= 90; ++port) {
       Observer test{{kReplica, kOther, kThird}, port};
-      test.client.on_tick(0, kStart);
-      // All find the leader first; then each asks the replica where it should be.
-      test.client.on_message(kReplica, current_reply(test.output.heartbeats[0], 0), kStart);
-      test.client.on_tick(0, kStart + milliseconds(600));
-      const Endpoint home = test.output.asked.back();
-      test.client.on_message(home, current_reply(test.output.heartbeats.back(), 0),
-                             kStart + milliseconds(605));
-      test.client.on_tick(0, kStart + milliseconds(1200));
-      CHECK(test.output.asked.back() == home);
-      ++chosen[home];
+      ++chosen[settle(test, {{kReplica, ""}, {kOther, ""}, {kThird, ""}})];
     }
     for (const Endpoint& replica : {kReplica, kOther, kThird}) {
       CHECK(chosen[replica] >= 20);
     }
   }
 
+  TEST_CASE("observers prefer replicas in their own zone, and spread over those") {
+    std::map<Endpoint, int> chosen;
+    for (std::uint16_t port = 1; port <= 90; ++port) {
+      Observer test{{kReplica, kOther, kThird}, port};
+      ++chosen[settle(test, {{kReplica, "y"}, {kOther, "z"}, {kThird, "z"}})];
+    }
+    CHECK(chosen[kReplica] == 0);
+    CHECK(chosen[kOther] >= 30);
+    CHECK(chosen[kThird] >= 30);
+  }
+
+  TEST_CASE("a silent replica keeps nobody from the one where it should be") {
+    Observer test{{kReplica, kOther, kThird}};
+    CHECK(settle(test, {{kReplica, "y"}, {kOther, "z"}}) == kOther);
+  }
+
   TEST_CASE("an observer follows the replicas that a current replica names, and new seeds") {
     constexpr Endpoint kNew{0x0A00C805, 7000};
     constexpr Endpoint kSeed{0x0A00C804, 7000};
