Let balancers exchange figures about targets: pressure, nearness, trouble

Cause: each balancer placed flows by its own packets alone. (3) A target that goes down was noticed by each balancer for itself, by copies of opening packets: on the grown sites too late.

Change: balancers report, with their heartbeats, the requests, openings, refusals and stalls that they saw; replicas add up, the leader concludes (core/control/figure_board) and all get one edition of figures: targets with more or fewer requests than their pool's mean, and targets in trouble. An opening that nothing follows, not even a copy, was refused: one is enough. Requests without an answer after 0.4 s blame a target where the rest of its pool works. The leader logs targets_troubled.

Now loads within one step count as the same, and weighted rendezvous hashing decides among them; - stalls seen by balancers that had just started blamed healthy targets (packets held at the start): ignored for 1 s.

Tests: unit.figure_board, unit.flow_steering (refusals, stalls, figures), unit.control_client, unit.control_node (told to the balancers of all replicas). unit and sim labels pass.

--- a/src/core/balancer/control_client.cc
+++ b/src/core/balancer/control_client.cc
@@ -35,6 +35,8 @@
     on_reply(from, *reply, now);
   } else if (const auto* update = std::get_if<FleetUpdate>(&message)) {
     on_update(*update, now);
+  } else if (const auto* figures = std::get_if<TargetFigures>(&message)) {
+    take_figures(*figures);
   }
 }
 
@@ -50,10 +52,18 @@
   if (reply.is_current) {
     current_revision_ = std::max(current_revision_.value_or(0), reply.revision);
   }
+  if (reply.figures) {
+    take_figures(*reply.figures);
+  }
   check_confirmed(now);
   judge_replica(from, reply, now);
 }
 
+void ControlClient::take_figures(const TargetFigures& figures) {
+  figures_edition_ = figures.edition;
+  output_.on_figures(figures.figures);
+}
+
 void ControlClient::check_confirmed(Instant now) {
   if (!has_been_current_ && current_revision_ && fleet_.revision >= *current_revision_) {
     has_been_current_ = true;
@@ -160,6 +170,10 @@
   heartbeat.digest = digest_;
   heartbeat.settled_revision = settled_revision_;
   heartbeat.wants_update = wants_update;
+  heartbeat.figures_edition = figures_edition_;
+  if (wants_update && !choice_.is_searching()) {
+    heartbeat.observations = output_.take_observations();
+  }
   heartbeats_sent_[heartbeat.sequence] = now;
   if (heartbeats_sent_.size() > kHeartbeatsRemembered) {
     heartbeats_sent_.erase(heartbeats_sent_.begin());
@@ -219,7 +233,8 @@
   }
   // Progress is told at once, so that a change that waits for it goes on.
   const bool progress = settled_revision != reported_settled_ && settled_revision != 0;
-  if (now >= next_heartbeat_ || progress) {
+  const bool is_urgent = !choice_.is_searching() && output_.has_urgent_observations();
+  if (now >= next_heartbeat_ || progress || is_urgent) {
     const bool is_starting = is_observer() && !has_been_current_;
     next_heartbeat_ = now + (is_starting ? timing_.starting_interval : timing_.heartbeat_interval);
     settled_revision_ = settled_revision;
--- a/src/core/balancer/control_client.h
+++ b/src/core/balancer/control_client.h
@@ -26,6 +26,12 @@
   /// This process was removed from the members although it runs: others have taken over what it
   /// owned. It must drop its state and call `rejoin` with a new incarnation.
   virtual void on_expelled(Instant now) = 0;
+  /// True when there is something to report at once.
+  virtual bool has_urgent_observations() { return false; }
+  /// What was seen of targets since the last call; goes with the next report.
+  virtual std::vector<TargetObservation> take_observations() { return {}; }
+  /// What all balancers saw of targets; in place of what was told before.
+  virtual void on_figures(const std::vector<TargetFigure>& /*figures*/) {}
   /// The chosen replica does not answer: connections to it are of no use.
   virtual void on_replica_silent(const Endpoint& /*replica*/) {}
 };
@@ -79,6 +85,7 @@
   [[nodiscard]] bool is_member(const FleetState& fleet) const;
   void on_reply(const Endpoint& from, const HeartbeatReply& reply, Instant now);
   /// Finds or keeps a replica by what one has answered.
+  void take_figures(const TargetFigures& figures);
   void judge_replica(const Endpoint& from, const HeartbeatReply& reply, Instant now);
   /// Reports to the chosen replica, or asks all of them while there is none.
   void send_heartbeats(Instant now);
@@ -112,6 +119,7 @@
   /// As the balancer told it last.
   Revision settled_revision_ = 0;
   Revision reported_settled_ = 0;
+  std::uint64_t figures_edition_ = 0;
 };
 
 }  // namespace gorsevalve
--- a/src/core/control/control_node.cc
+++ b/src/core/control/control_node.cc
@@ -13,6 +13,12 @@
 constexpr Duration kNodeMemory = std::chrono::seconds(60);
 /// An update is not sent again to a node within this time.
 constexpr Duration kUpdateUnderWay = std::chrono::milliseconds(700);
+/// Pause between two editions of the figures about targets.
+constexpr Duration kFiguresInterval = std::chrono::milliseconds(2000);
+/// The same, and between two reports, while a target has just refused a flow.
+constexpr Duration kTroubleInterval = std::chrono::milliseconds(100);
+/// Editions of one term.
+constexpr unsigned kEditionBits = 32;
 /// Pause between two looks at the silence of targets.
 constexpr Duration kConclusionInterval = std::chrono::milliseconds(500);
 
@@ -66,6 +72,8 @@
   for (const auto& replica : replica_->replicas().replicas) {
     reply.replicas.push_back(replica.address);
   }
+  reply.figures = figures_after(heartbeat.figures_edition);
+  board_.add(heartbeat.observations, now);
   output_.send_node(from, reply);
   if (!heartbeat.wants_update) {
     return;
@@ -145,8 +153,38 @@
   for (const auto& target : report.targets) {
     registrations_.on_heartbeat(target.id, now - std::chrono::milliseconds(target.age_ms));
   }
+  board_.add(report.observations, now);
   const std::vector<Endpoint> may_stop = MembershipController::may_stop(state_.fleet(), nodes_);
-  output_.send_node(from, ReportReply{report.sequence, may_stop});
+  output_.send_node(from,
+                    ReportReply{report.sequence, may_stop, figures_after(report.figures_edition)});
+}
+
+void ControlNode::handle(const Endpoint& from, const TargetFigures& figures, Instant /*now*/) {
+  if (!replica_->is_leader() && from == replica_->leader_address()) {
+    take_figures(figures);
+  }
+}
+
+void ControlNode::take_figures(TargetFigures figures) {
+  const bool is_urgent = figures.troubled() != figures_.troubled();
+  figures_ = std::move(figures);
+  if (!is_urgent) {
+    return;
+  }
+  if (replica_->is_leader()) {
+    for (const auto& replica : replica_->replicas().replicas) {
+      if (replica.id != replica_->id()) {
+        output_.send_node(replica.address, figures_);
+      }
+    }
+  }
+  for (const auto& [address, pushed] : pushed_) {
+    output_.send_node(address, figures_);
+  }
+}
+
+std::optional<TargetFigures> ControlNode::figures_after(std::uint64_t edition) const {
+  return edition == figures_.edition ? std::nullopt : std::optional(figures_);
 }
 
 void ControlNode::handle(const Endpoint& /*from*/, const ReportReply& reply, Instant /*now*/) {
@@ -156,15 +194,22 @@
   }
   confirmed_report_ = std::max(confirmed_report_.value_or(Instant{}), sent->second);
   may_stop_ = std::set<Endpoint>(reply.may_stop.begin(), reply.may_stop.end());
+  if (reply.figures) {
+    take_figures(*reply.figures);
+  }
 }
 
 void ControlNode::report_to_leader(Instant now) {
   const std::optional<Endpoint> leader = replica_->leader_address();
-  if (now < next_report_ || !leader || replica_->is_leader()) {
+  const Duration pause =
+      board_.has_trouble() ? kTroubleInterval : Duration(control_timing::kHeartbeatInterval);
+  if (now - reported_at_ < pause || !leader || replica_->is_leader()) {
     return;
   }
-  next_report_ = now + control_timing::kHeartbeatInterval;
+  reported_at_ = now;
   ReplicaReport report{++report_sequence_, config_.address, nodes_.local_nodes(now)};
+  report.observations = board_.take_observations(now);
+  report.figures_edition = figures_.edition;
   for (const auto& [id, heard_at] : std::exchange(heard_targets_, {})) {
     const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - heard_at);
     report.targets.push_back({id, static_cast<std::uint32_t>(age.count())});
@@ -185,8 +230,10 @@
     pending_members_ = 0;
     membership_.on_elected(now);
     registrations_.on_elected(now);
+    board_.clear();
   }
   lead_registrations(now);
+  lead_figures(now);
   const std::vector<Endpoint> stop = MembershipController::may_stop(state_.fleet(), nodes_);
   may_stop_ = std::set<Endpoint>(stop.begin(), stop.end());
   if (pending_members_ > replica_->commit_index()) {
@@ -210,6 +257,20 @@
   }
 }
 
+void ControlNode::lead_figures(Instant now) {
+  const Duration pause = board_.has_trouble() ? kTroubleInterval : kFiguresInterval;
+  if (now - figures_at_ < pause) {
+    return;
+  }
+  figures_at_ = now;
+  std::vector<TargetFigure> figures = board_.conclude(state_.fleet().steering, now);
+  if (figures != figures_.figures) {
+    // Editions are told apart, not ordered; those of two leaders differ by their terms.
+    const std::uint64_t first_of_term = (replica_->term() << kEditionBits) + 1;
+    take_figures({std::max(figures_.edition + 1, first_of_term), std::move(figures)});
+  }
+}
+
 std::optional<Proposal> ControlNode::propose(const SteeringCommand& command, Instant now) {
   const auto index = replica_->propose(EntryType::kSteering, encode_archive(command), now);
   push_updates(now);
--- a/src/core/control/control_node.h
+++ b/src/core/control/control_node.h
@@ -8,6 +8,7 @@
 #include <set>
 
 #include "core/control/control_state.h"
+#include "core/control/figure_board.h"
 #include "core/control/membership.h"
 #include "core/control/node_messages.h"
 #include "core/control/node_registry.h"
@@ -118,6 +119,8 @@
   [[nodiscard]] const Replica& replica() const { return *replica_; }
   [[nodiscard]] const ControlState& state() const { return state_; }
   [[nodiscard]] const NodeRegistry& nodes() const { return nodes_; }
+  /// What balancers are told of targets.
+  [[nodiscard]] const TargetFigures& figures() const { return figures_; }
 
   void set_faults(const ControlFaults& faults) { faults_ = faults; }
 
@@ -134,6 +137,12 @@
   void report_to_leader(Instant now);
   void lead(Instant now);
   void lead_registrations(Instant now);
+  void handle(const Endpoint& from, const TargetFigures& figures, Instant now);
+  /// Concludes what balancers should know of each other's observations.
+  void lead_figures(Instant now);
+  /// Keeps an edition, and sends it at once when other targets are troubled than before.
+  void take_figures(TargetFigures figures);
+  [[nodiscard]] std::optional<TargetFigures> figures_after(std::uint64_t edition) const;
   [[nodiscard]] Duration lease_left(Instant now) const;
 
   ReplicaConfig config_;
@@ -146,6 +155,9 @@
   MembershipController membership_;
   RegistrationMonitor registrations_{RegistrationTiming{}};
   Instant next_conclusion_;
+  FigureBoard board_;
+  TargetFigures figures_;
+  Instant figures_at_;
   /// Targets that this follower heard since its last report.
   std::map<TargetId, Instant> heard_targets_;
   bool was_leader_ = false;
@@ -157,7 +169,7 @@
   };
   std::map<Endpoint, Pushed> pushed_;
   Revision pushed_revision_ = 0;
-  Instant next_report_;
+  Instant reported_at_;
   std::uint64_t report_sequence_ = 0;
   std::map<std::uint64_t, Instant> reports_sent_;
   /// Send time of the latest report that a leader with a lease confirmed.
--- a/src/core/control/node_messages.h
+++ b/src/core/control/node_messages.h
@@ -3,12 +3,14 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
 
 #include "core/control/control_state.h"
 #include "model/fleet.h"
+#include "model/target_figures.h"
 
 namespace gorsevalve {
 
@@ -24,10 +26,15 @@
   Revision settled_revision = 0;
   /// False when only the reply is wanted, and no update.
   bool wants_update = true;
+  /// What it saw of targets since its last report.
+  std::vector<TargetObservation> observations{};
+  /// Edition of the figures that it has.
+  std::uint64_t figures_edition = 0;
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
     archive& sequence& member& revision& digest& settled_revision& wants_update;
+    archive& observations& figures_edition;
   }
 };
 
@@ -44,10 +51,12 @@
   std::vector<Endpoint> replicas{};
   /// Zone of the replica that answers; empty when it does not know.
   std::string zone{};
+  /// Set when the balancer has another edition.
+  std::optional<TargetFigures> figures{};
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive& sequence& lease_ms& may_stop& is_current& revision& replicas& zone;
+    archive& sequence& lease_ms& may_stop& is_current& revision& replicas& zone& figures;
   }
 };
 
@@ -99,10 +108,14 @@
   std::vector<NodeStatus> nodes;
   /// Targets heard since the report before.
   std::vector<HeardTarget> targets{};
+  /// What the balancers that it serves saw of targets since the report before.
+  std::vector<TargetObservation> observations{};
+  /// Edition of the figures that it has.
+  std::uint64_t figures_edition = 0;
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive& sequence& replica& nodes& targets;
+    archive& sequence& replica& nodes& targets& observations& figures_edition;
   }
 };
 
@@ -111,15 +124,17 @@
   std::uint64_t sequence = 0;
   /// Leaving balancers that may end.
   std::vector<Endpoint> may_stop;
+  /// Set when the follower has another edition.
+  std::optional<TargetFigures> figures{};
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive& sequence& may_stop;
+    archive& sequence& may_stop& figures;
   }
 };
 
 /// Any message between balancers and replicas about the fleet.
-using NodeMessage =
-    std::variant<NodeHeartbeat, HeartbeatReply, FleetUpdate, ReplicaReport, ReportReply>;
+using NodeMessage = std::variant<NodeHeartbeat, HeartbeatReply, FleetUpdate, ReplicaReport,
+                                 ReportReply, TargetFigures>;
 
 }  // namespace gorsevalve
--- a/src/core/steering/flow_steering.cc
+++ b/src/core/steering/flow_steering.cc
@@ -1,7 +1,7 @@
 #include "core/steering/flow_steering.h"
 
 #include <algorithm>
-#include <limits>
+#include <cmath>
 #include <numeric>
 
 #include "core/routing/bounded_rendezvous.h"
@@ -12,8 +12,39 @@
 /// The first copy of an opening packet goes where the first one went, since a lost packet is
 /// likelier than a lost target; later ones go elsewhere.
 constexpr std::uint32_t kCopiesAtSameTarget = 1;
+/// When a first opening packet is followed by nothing for this long, not even by a copy, which
+/// callers send after 200 ms, the caller was told that there is no flow.
+constexpr Duration kRefusedAfter = std::chrono::milliseconds(300);
+/// A request without an answer for this long has stalled: longer than a queue of a target that
+/// works, and than a lost packet takes.
+constexpr Duration kStalledAfter = std::chrono::milliseconds(400);
+/// A balancer that has just started gets packets of flows that went on elsewhere meanwhile.
+constexpr Duration kObservationPause = std::chrono::seconds(1);
 constexpr std::uint64_t kTieSalt = 0x7469650000ULL;
 
+/// Loads within one step count as the same where figures of all balancers can decide.
+constexpr double kLoadStep = 1;
+
+/// How good a target is for a new flow; the least one is chosen.
+struct Rank {
+  bool is_doubtful = true;
+  /// As this balancer sees it.
+  double load = 0;
+  /// Decides between targets of the same load.
+  double race = 0;
+
+  friend auto operator<=>(const Rank&, const Rank&) = default;
+};
+
+/// The target with the least time wins; each wins as often as its weight says (weighted rendezvous
+/// hashing, Schindelhauer and Schomaker, "Weighted distributed hash tables", 2005). `score` is
+/// uniform over 64 bits.
+double race_time(std::uint64_t score, double weight) {
+  constexpr double kScores = 18446744073709551616.0;
+  const double uniform = (static_cast<double>(score) + 1) / kScores;
+  return -std::log(uniform) / weight;
+}
+
 }  // namespace
 
 std::string_view to_string(SteeringReason reason) {
@@ -53,6 +84,17 @@
                  [&](const auto& entry) { return view_->frontend(entry.first) == nullptr; });
 }
 
+void FlowSteering::confirm(Instant now) {
+  is_confirmed_ = true;
+  observes_from_ = now + kObservationPause;
+}
+
+void FlowSteering::stop_observing() {
+  observes_from_ = Instant::max();
+  openings_.clear();
+  requests_.clear();
+}
+
 SteeringDecision FlowSteering::on_packet(const CallerPacket& packet, Instant now) {
   if (!has_settings()) {
     return {SteeringAction::kDrop, SteeringReason::kNoState, nullptr};
@@ -87,13 +129,17 @@
 
 SteeringDecision FlowSteering::open(const FrontendView& frontend, const CallerPacket& packet,
                                     Instant now) {
-  const FlowEntry* entry = flows_.find(packet.flow);
+  check_expectations(now);
+  FlowEntry* entry = flows_.find(packet.flow);
   TargetId avoided = 0;
   if (entry != nullptr && entry->phase == FlowPhase::kOpening && packet.copies_before > 0) {
     const RegisteredTarget* before = view_->target_by_id(entry->target);
     const bool usable = before != nullptr && before->phase == TargetPhase::kReady &&
                         view_->may_reach(frontend, *before);
-    scores_.on_unanswered(entry->target, now);
+    if (!entry->has_copy) {
+      entry->has_copy = true;
+      scores_.on_unanswered(entry->target, now);
+    }
     if (usable && packet.copies_before <= kCopiesAtSameTarget &&
         !scores_.is_suspected(entry->target, now)) {
       return {SteeringAction::kForward, SteeringReason::kCopy, before};
@@ -105,6 +151,10 @@
     return {SteeringAction::kReset, SteeringReason::kNoTarget, nullptr};
   }
   note(packet, target->id, now);
+  scores_.on_placed(target->id);
+  if (packet.copies_before == 0 && now >= observes_from_) {
+    openings_.push_back({packet.flow, target->id, now});
+  }
   const SteeringReason reason =
       avoided == 0 ? SteeringReason::kPlaced : SteeringReason::kPlacedAgain;
   return {SteeringAction::kForward, reason, target};
@@ -191,27 +241,24 @@
                                               TargetId avoided, Instant now) const {
   const double typical_us = typical_answer_us(pool, now);
   const std::uint64_t flow_key = packed(packet.flow.caller) ^ seed_;
+  // Without figures of all balancers, the own view decides alone.
+  const auto rounded = [&](double load) {
+    return scores_.has_figures() ? std::floor(load / kLoadStep) : load;
+  };
   const RegisteredTarget* best = nullptr;
-  bool best_doubtful = true;
-  double best_load = std::numeric_limits<double>::max();
-  std::uint64_t best_tie = 0;
+  Rank best_rank;
   for (const std::uint32_t index : view_->pool_targets(pool)) {
     const RegisteredTarget& target = view_->targets()[index];
     if (target.id == avoided) {
       continue;
     }
-    const bool doubtful =
-        target.phase != TargetPhase::kReady || scores_.is_suspected(target.id, now);
-    const double load = scores_.load(target, typical_us, now);
-    const std::uint64_t tie = rendezvous_score(flow_key, target.token, kTieSalt);
-    const bool better =
-        best == nullptr || (best_doubtful && !doubtful) ||
-        (best_doubtful == doubtful && (load < best_load || (load == best_load && tie > best_tie)));
-    if (better) {
+    const Rank rank{
+        target.phase != TargetPhase::kReady || scores_.is_suspected(target.id, now),
+        rounded(scores_.load(target, typical_us, now)),
+        race_time(rendezvous_score(flow_key, target.token, kTieSalt), scores_.preference(target))};
+    if (best == nullptr || rank < best_rank) {
       best = &target;
-      best_doubtful = doubtful;
-      best_load = load;
-      best_tie = tie;
+      best_rank = rank;
     }
   }
   return best;
@@ -246,7 +293,10 @@
   }
   if (packet.data_size > 0 && !entry.request_since) {
     entry.request_since = now;
-    ++scores_.at(entry.target).busy_flows;
+    scores_.on_request(entry.target);
+    if (now >= observes_from_) {
+      requests_.push_back({packet.flow, entry.target, now});
+    }
   }
   entry.acknowledged = packet.acknowledged;
 }
@@ -257,6 +307,7 @@
     remove_load(*entry);
     entry->target = target;
     entry->phase = FlowPhase::kOpening;
+    entry->has_copy = false;
     entry->request_since.reset();
     ++scores_.at(target).open_flows;
   }
@@ -289,10 +340,42 @@
   }
 }
 
+void FlowSteering::check_openings(Instant now) {
+  while (!openings_.empty() && now - openings_.front().at >= kRefusedAfter) {
+    const Expectation& opening = openings_.front();
+    const FlowEntry* entry = flows_.find(opening.flow);
+    const bool is_refused = entry != nullptr && entry->phase == FlowPhase::kOpening &&
+                            entry->target == opening.target && !entry->has_copy;
+    if (is_refused) {
+      scores_.on_refused(opening.target, now);
+    }
+    openings_.pop_front();
+  }
+}
+
+void FlowSteering::check_requests(Instant now) {
+  while (!requests_.empty() && now - requests_.front().at >= kStalledAfter) {
+    const Expectation& request = requests_.front();
+    const FlowEntry* entry = flows_.find(request.flow);
+    const bool is_stalled = entry != nullptr && entry->target == request.target &&
+                            entry->phase == FlowPhase::kOpen && entry->request_since == request.at;
+    if (is_stalled) {
+      scores_.on_stalled(request.target);
+    }
+    requests_.pop_front();
+  }
+}
+
+void FlowSteering::check_expectations(Instant now) {
+  check_openings(now);
+  check_requests(now);
+}
+
 void FlowSteering::on_tick(Instant now) {
   if (view_ == nullptr) {
     return;
   }
+  check_expectations(now);
   const auto idle = std::chrono::milliseconds(view_->idle_timeout_ms());
   flows_.expire(idle, now, [this](const FlowEntry& entry) { remove_load(entry); });
 }
--- a/src/core/steering/flow_steering.h
+++ b/src/core/steering/flow_steering.h
@@ -3,7 +3,10 @@
 /// holds state that an open flow needs. A state machine without sockets or clocks.
 #pragma once
 
+#include <deque>
 #include <memory>
+#include <string>
+#include <utility>
 
 #include "core/steering/flow_table.h"
 #include "core/steering/steering_view.h"
@@ -67,8 +70,9 @@
 
 class FlowSteering {
  public:
-  /// `seed` makes balancers break ties differently.
-  explicit FlowSteering(std::uint64_t seed) : seed_(seed) {}
+  /// `seed` makes balancers break ties differently; targets in `zone` are near.
+  explicit FlowSteering(std::uint64_t seed, std::string zone = {})
+      : seed_(seed), scores_(std::move(zone)) {}
 
   /// Takes a newer state. Never called with an older one.
   void adopt(const SteeringState& state, Instant now);
@@ -76,9 +80,21 @@
   SteeringDecision on_packet(const CallerPacket& packet, Instant now);
   /// The state is the newest. Until then it may be what a replica knew before a loss of all: open
   /// flows go on by it, and everything else is kNoState.
-  void confirm() { is_confirmed_ = true; }
+  void confirm(Instant now);
+  /// Packets of flows go elsewhere from now on: what does not come back here blames no target.
+  void stop_observing();
   /// Forgets what has rested; to be called about once a second.
   void on_tick(Instant now);
+  /// Notes openings and requests that were not followed by what should follow. Often and cheap.
+  void check_expectations(Instant now);
+
+  /// For the exchange with other balancers.
+  [[nodiscard]] std::vector<TargetObservation> take_observations() {
+    return scores_.take_observations();
+  }
+  /// True when a target showed trouble since the last call of `take_observations`.
+  [[nodiscard]] bool has_trouble() const { return scores_.has_trouble(); }
+  void set_figures(const std::vector<TargetFigure>& figures) { scores_.set_figures(figures); }
 
   /// True once settings are in force.
   [[nodiscard]] bool has_settings() const { return view_ != nullptr && view_->version() > 0; }
@@ -99,13 +115,26 @@
   [[nodiscard]] double typical_answer_us(std::uint32_t pool, Instant now) const;
   void note(const CallerPacket& packet, TargetId target, Instant now);
   void note_request(FlowEntry& entry, const CallerPacket& packet, Instant now);
+  void check_openings(Instant now);
+  void check_requests(Instant now);
   void end_request(FlowEntry& entry);
   void remove_load(const FlowEntry& entry);
 
   std::uint64_t seed_;
   bool is_confirmed_ = false;
+  /// What happened before tells nothing of targets.
+  Instant observes_from_;
   std::unique_ptr<SteeringView> view_;
   FlowTable flows_;
+  /// Something that went to a target and should be followed by something here.
+  struct Expectation {
+    SteeredFlow flow;
+    TargetId target = 0;
+    Instant at;
+  };
+  /// Flows that were placed, and requests that began lately, in order.
+  std::deque<Expectation> openings_;
+  std::deque<Expectation> requests_;
   TargetScores scores_;
   SteeringFaults faults_;
   /// Credit of each share of a frontend for the weighted round robin.
--- a/src/core/steering/flow_table.h
+++ b/src/core/steering/flow_table.h
@@ -30,6 +30,8 @@
 struct FlowEntry {
   TargetId target = 0;
   FlowPhase phase = FlowPhase::kOpening;
+  /// The caller sent a copy of its opening packet.
+  bool has_copy = false;
   Instant last_seen;
   /// The caller's last acknowledgement number.
   std::uint32_t acknowledged = 0;
--- a/src/core/steering/target_scores.cc
+++ b/src/core/steering/target_scores.cc
@@ -3,6 +3,7 @@
 #include <absl/container/flat_hash_set.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace gorsevalve {
 namespace {
@@ -13,6 +14,8 @@
 /// Unanswered opening packets that make a target suspected.
 constexpr std::uint32_t kSuspectAfter = 2;
 constexpr Duration kSuspicion = seconds(2);
+/// A target that refuses flows is down; one that goes up and down stays suspected over its ups.
+constexpr Duration kRefusalSuspicion = seconds(5);
 /// Share of a new sample in the smoothed answer time.
 constexpr double kSmoothing = 0.2;
 /// A sample is believed for this long.
@@ -24,17 +27,29 @@
 constexpr double kColdPenalty = 1.6;
 /// A request under way weighs as much as this many open flows.
 constexpr double kBusyWeight = 2;
+/// How strongly the pressure that all balancers saw decides between targets of the same load. All
+/// balancers get the same figures, so the least pressure must not decide alone: they would all rush
+/// to the same target. Bounded: a new target is not filled up at once.
+constexpr double kPressureExponent = 4;
+/// How often a target in the own zone wins against one elsewhere: bytes between zones are dear, and
+/// pressures keep the loads of zones even.
+constexpr double kNearPreference = 4;
+constexpr double kLeastPressure = 80;
+constexpr double kMostPressure = 150;
 
 }  // namespace
 
 void TargetScores::adopt(const std::vector<RegisteredTarget>& targets, Instant now) {
   absl::flat_hash_set<TargetId> present;
+  by_token_.clear();
   for (const auto& target : targets) {
     present.insert(target.id);
+    by_token_[target.token] = target.id;
     const auto [found, is_new] = scores_.try_emplace(target.id);
     if (is_new) {
       found->second.warm_at = now + milliseconds(target.warm_up_ms);
     }
+    found->second.unreported.token = target.token;
   }
   absl::erase_if(scores_, [&](const auto& entry) { return !present.contains(entry.first); });
 }
@@ -44,6 +59,43 @@
   return found == scores_.end() ? nullptr : &found->second;
 }
 
+void TargetScores::on_placed(TargetId id) { ++at(id).unreported.openings; }
+
+void TargetScores::on_request(TargetId id) {
+  TargetScore& score = at(id);
+  ++score.busy_flows;
+  ++score.unreported.requests;
+}
+
+std::vector<TargetObservation> TargetScores::take_observations() {
+  std::vector<TargetObservation> result;
+  for (auto& [id, score] : scores_) {
+    TargetObservation& seen = score.unreported;
+    const TargetObservation nothing{seen.token, 0, 0, 0, 0, 0};
+    if (seen != nothing && seen.token != 0) {
+      result.push_back(seen);
+    }
+    seen = nothing;
+  }
+  has_trouble_ = false;
+  std::sort(result.begin(), result.end(),
+            [](const auto& a, const auto& b) { return a.token < b.token; });
+  return result;
+}
+
+void TargetScores::set_figures(const std::vector<TargetFigure>& figures) {
+  has_figures_ = !figures.empty();
+  for (auto& [id, score] : scores_) {
+    score.figure = {};
+  }
+  for (const auto& figure : figures) {
+    const auto found = by_token_.find(figure.token);
+    if (found != by_token_.end()) {
+      at(found->second).figure = figure;
+    }
+  }
+}
+
 void TargetScores::on_opened(TargetId id) {
   TargetScore& score = at(id);
   score.unanswered = 0;
@@ -53,6 +105,7 @@
 void TargetScores::on_unanswered(TargetId id, Instant now) {
   TargetScore& score = at(id);
   ++score.unanswered;
+  ++score.unreported.unanswered;
   if (score.unanswered >= kSuspectAfter) {
     score.suspected_until = now + kSuspicion;
   }
@@ -66,9 +119,31 @@
   score.answer_at = now;
 }
 
+void TargetScores::on_refused(TargetId id, Instant now) {
+  TargetScore& score = at(id);
+  ++score.unreported.refused;
+  score.suspected_until = now + kRefusalSuspicion;
+  has_trouble_ = true;
+}
+
+double TargetScores::preference(const RegisteredTarget& target) const {
+  const double nearness = !zone_.empty() && target.zone == zone_ ? kNearPreference : 1;
+  const TargetScore* score = find(target.id);
+  if (score == nullptr) {
+    return nearness;
+  }
+  const double pressure = std::clamp<double>(score->figure.pressure, kLeastPressure, kMostPressure);
+  return nearness * std::pow(TargetFigure::kUsualPressure / pressure, kPressureExponent);
+}
+
+void TargetScores::on_stalled(TargetId id) {
+  ++at(id).unreported.stalled;
+  has_trouble_ = true;
+}
+
 bool TargetScores::is_suspected(TargetId id, Instant now) const {
   const TargetScore* score = find(id);
-  return score != nullptr && now < score->suspected_until;
+  return score != nullptr && (now < score->suspected_until || score->figure.is_troubled);
 }
 
 double TargetScores::recent_answer_us(TargetId id, Instant now) const {
--- a/src/core/steering/target_scores.h
+++ b/src/core/steering/target_scores.h
@@ -6,8 +6,12 @@
 #include <absl/container/flat_hash_map.h>
 
 #include <cstdint>
+#include <string>
+#include <utility>
+#include <vector>
 
 #include "model/steering.h"
+#include "model/target_figures.h"
 #include "model/time.h"
 
 namespace gorsevalve {
@@ -26,30 +30,59 @@
   Instant answer_at;
   /// Slow until then, as the target said.
   Instant warm_at;
+  /// What was seen here since the last report.
+  TargetObservation unreported;
+  /// What all balancers saw together.
+  TargetFigure figure;
 };
 
 class TargetScores {
  public:
+  /// `zone` is the balancer's; without one, no target is near.
+  explicit TargetScores(std::string zone) : zone_(std::move(zone)) {}
+
   /// Drops what is known of targets that are gone, and notes the warm-up of new ones.
   void adopt(const std::vector<RegisteredTarget>& targets, Instant now);
 
   [[nodiscard]] TargetScore& at(TargetId id) { return scores_[id]; }
   [[nodiscard]] const TargetScore* find(TargetId id) const;
 
+  /// A flow was placed at the target.
+  void on_placed(TargetId id);
+  /// Something followed an opening packet.
   void on_opened(TargetId id);
   /// An opening packet had to be repeated.
   void on_unanswered(TargetId id, Instant now);
+  /// The target told a caller that it takes no flow.
+  void on_refused(TargetId id, Instant now);
+  void on_request(TargetId id);
+  /// A request got no answer in the time that answers take.
+  void on_stalled(TargetId id);
   void on_answer(TargetId id, Duration took, Instant now);
 
+  /// What was seen since the last call.
+  [[nodiscard]] std::vector<TargetObservation> take_observations();
+  [[nodiscard]] bool has_trouble() const { return has_trouble_; }
+  /// Takes figures in place of all earlier ones.
+  void set_figures(const std::vector<TargetFigure>& figures);
+  [[nodiscard]] bool has_figures() const { return has_figures_; }
+
+  /// True when this balancer or all together saw it leave openings unanswered lately.
   [[nodiscard]] bool is_suspected(TargetId id, Instant now) const;
   /// Load for comparison within a pool, lower is better. `typical_us` is the pool's usual answer
   /// time, 0 when unknown.
   [[nodiscard]] double load(const RegisteredTarget& target, double typical_us, Instant now) const;
+  /// How often a target should win among those of the same load, compared with another one.
+  [[nodiscard]] double preference(const RegisteredTarget& target) const;
   /// Answer time when it is recent enough to be believed, in microseconds; else 0.
   [[nodiscard]] double recent_answer_us(TargetId id, Instant now) const;
 
  private:
+  std::string zone_;
   absl::flat_hash_map<TargetId, TargetScore> scores_;
+  absl::flat_hash_map<FlowToken, TargetId> by_token_;
+  bool has_trouble_ = false;
+  bool has_figures_ = false;
 };
 
 }  // namespace gorsevalve
--- /dev/null
+++ b/src/model/target_figures.h
@@ -0,0 +1,68 @@
+/// Figures about targets that balancers and control replicas exchange: what a balancer saw, and
+/// what all of them saw together. They steer new flows only; nothing that must survive depends on
+/// them.
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+#include "model/steering.h"
+
+namespace gorsevalve {
+
+/// What one balancer saw of a target since its last report.
+struct TargetObservation {
+  FlowToken token = 0;
+  /// Requests that went to the target.
+  std::uint32_t requests = 0;
+  /// Of those, the ones without an answer for a time that answers should not take.
+  std::uint32_t stalled = 0;
+  /// Flows that were placed at the target.
+  std::uint32_t openings = 0;
+  /// Of those, the ones that nothing followed, not even a copy: the target reset them.
+  std::uint32_t refused = 0;
+  /// Of those, the ones of which copies were sent.
+  std::uint32_t unanswered = 0;
+
+  friend bool operator==(const TargetObservation&, const TargetObservation&) = default;
+
+  template <class Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    archive& token& requests& stalled& openings& refused& unanswered;
+  }
+};
+
+/// What all balancers saw of a target lately. Targets without a figure are as usual.
+struct TargetFigure {
+  /// Pressure of a target that gets its share of the pool's requests, in percent.
+  static constexpr std::uint8_t kUsualPressure = 100;
+
+  FlowToken token = 0;
+  /// Requests compared with the mean of the pool, in percent.
+  std::uint8_t pressure = kUsualPressure;
+  /// It refuses flows, leaves opening packets or requests unanswered.
+  bool is_troubled = false;
+
+  friend bool operator==(const TargetFigure&, const TargetFigure&) = default;
+
+  template <class Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    archive& token& pressure& is_troubled;
+  }
+};
+
+/// One edition of the figures, told apart by its number; 0 is none.
+struct TargetFigures {
+  std::uint64_t edition = 0;
+  std::vector<TargetFigure> figures;
+
+  /// Tokens of the targets in trouble, in order.
+  [[nodiscard]] std::vector<FlowToken> troubled() const;
+
+  template <class Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    archive& edition& figures;
+  }
+};
+
+}  // namespace gorsevalve
--- a/src/tasks/control_task.cc
+++ b/src/tasks/control_task.cc
@@ -167,6 +167,23 @@
     }
     log_event(LogEvent::kReplicaSet, {{"replicas", members}});
   }
+  log_troubled_targets();
+}
+
+void ControlTask::log_troubled_targets() {
+  const std::vector<FlowToken> troubled = node_->figures().troubled();
+  if (troubled == logged_troubled_ || !node_->replica().is_leader()) {
+    return;
+  }
+  logged_troubled_ = troubled;
+  nlohmann::json targets = nlohmann::json::array();
+  for (const auto& target : node_->state().fleet().steering.targets) {
+    if (std::binary_search(troubled.begin(), troubled.end(), target.token)) {
+      targets.push_back(target.id);
+    }
+  }
+  log_event(LogEvent::kTargetsTroubled,
+            {{"targets", targets}, {"edition", node_->figures().edition}});
 }
 
 void ControlTask::submit(SettingsCommand command, SubmissionCallback callback) {
--- a/src/tasks/control_task.h
+++ b/src/tasks/control_task.h
@@ -110,6 +110,7 @@
   std::optional<Endpoint> on_frame(ByteView frame);
   void log_changes(Instant now);
   void on_tick();
+  void log_troubled_targets();
   void answer_waiting(Instant now);
   void answer_proposals(Instant now);
   [[nodiscard]] SteeringReply not_leader() const;
@@ -145,6 +146,7 @@
   bool was_leader_ = false;
   bool heard_leader_ = false;
   ReplicaSet logged_replicas_;
+  std::vector<FlowToken> logged_troubled_;
   Instant last_tick_;
 };
 
--- a/src/tasks/log_events.h
+++ b/src/tasks/log_events.h
@@ -39,6 +39,7 @@
   kLeaderHeard,
   kLeaderSilent,
   kReplicaSet,
+  kTargetsTroubled,
   kLoopStalled,
   kClusterFounded,
   kClusterNotFounded,
@@ -110,6 +111,10 @@
          "The leader was not heard for an election timeout."},
         {LogEvent::kReplicaSet, "replica_set", LogLevel::kInfo, LogClass::kState,
          "The voters and learners changed: a replica was wiped, replaced, taken in or removed."},
+        {LogEvent::kTargetsTroubled, "targets_troubled", LogLevel::kInfo, LogClass::kState,
+         "Balancers saw these targets, and no others, refuse flows or leave packets unanswered; "
+         "they "
+         "get new flows only where there is nothing better."},
         {LogEvent::kLoopStalled, "loop_stalled", LogLevel::kWarning, LogClass::kState,
          "Nothing ran for this long: a slow disk, a frozen machine, or too much work."},
         {LogEvent::kClusterFounded, "cluster_founded", LogLevel::kInfo, LogClass::kState,
--- a/src/tasks/steering_task.cc
+++ b/src/tasks/steering_task.cc
@@ -41,7 +41,7 @@
       config_(std::move(config)),
       format_(format),
       envelope_(config_.cluster, config_.keys, config_.self.address, config_.self.incarnation),
-      steering_(config_.self.incarnation),
+      steering_(config_.self.incarnation, config_.self.zone),
       control_(config_.self, config_.control, {}, *this),
       network_(loop, [this](ByteView frame) { return on_frame(frame); }) {
   control_.set_timing(kControlTiming);
@@ -61,6 +61,7 @@
 
 void SteeringTask::begin_stop() {
   stop_since_ = monotonic_now();
+  steering_.stop_observing();
   last_packet_ = *stop_since_;
   log_event(LogEvent::kStopping, {{"flows", steering_.flows()}});
 }
@@ -131,8 +132,8 @@
 
 void SteeringTask::on_tick() {
   const Instant now = monotonic_now();
-  control_.on_tick(0, now);
   steering_.on_tick(now);
+  control_.on_tick(0, now);
   flush_log();
   if (is_ready() != was_ready_) {
     was_ready_ = !was_ready_;
@@ -169,7 +170,7 @@
 }
 
 void SteeringTask::on_confirmed(Instant now) {
-  steering_.confirm();
+  steering_.confirm(now);
   log_event(LogEvent::kRevisionConfirmed,
             {{"revision", control_.fleet().revision}, {"held_packets", held_.size()}});
   retry_held(now);
--- a/src/tasks/steering_task.h
+++ b/src/tasks/steering_task.h
@@ -88,6 +88,13 @@
   void send_control(const Endpoint& replica, const NodeMessage& message) override;
   void on_fleet(const FleetState& fleet, Instant now) override;
   void on_confirmed(Instant now) override;
+  bool has_urgent_observations() override { return steering_.has_trouble(); }
+  std::vector<TargetObservation> take_observations() override {
+    return steering_.take_observations();
+  }
+  void on_figures(const std::vector<TargetFigure>& figures) override {
+    steering_.set_figures(figures);
+  }
   void on_lease(Instant /*until*/) override {}
   void on_expelled(Instant /*now*/) override {}
   void on_replica_silent(const Endpoint& replica) override;
--- a/tests/sim/test_steering_workload.cc
+++ b/tests/sim/test_steering_workload.cc
@@ -36,7 +36,7 @@
     for (std::size_t i = 0; i < kBalancers; ++i) {
       balancers_.emplace_back(seed + i);
       balancers_.back().set_faults(faults);
-      balancers_.back().confirm();
+      balancers_.back().confirm(now_);
       held_.push_back(0);
     }
     submit();
--- a/tests/unit/test_control_client.cc
+++ b/tests/unit/test_control_client.cc
@@ -28,6 +28,9 @@
     revisions.push_back(fleet.revision);
   }
   void on_confirmed(Instant /*now*/) override { ++confirmed; }
+  bool has_urgent_observations() override { return urgent; }
+  std::vector<TargetObservation> take_observations() override { return seen; }
+  void on_figures(const std::vector<TargetFigure>& told) override { figures = told; }
   void on_lease(Instant until) override { lease = until; }
   void on_expelled(Instant /*now*/) override { ++expelled; }
   void on_replica_silent(const Endpoint& /*replica*/) override { ++silent; }
@@ -36,6 +39,9 @@
   /// Where each heartbeat went.
   std::vector<Endpoint> asked;
   std::vector<Revision> revisions;
+  std::vector<TargetObservation> seen;
+  std::vector<TargetFigure> figures;
+  bool urgent = false;
   Instant lease;
   int confirmed = 0;
   int expelled = 0;
@@ -298,6 +304,33 @@
     CHECK(chosen[kThird] >= 30);
   }
 
+  TEST_CASE("what was seen of targets goes with heartbeats, troubles at once; figures come back") {
+    Observer test{{kReplica}};
+    test.client.on_tick(0, kStart);
+    test.output.seen = {{7, 3}};
+    test.client.on_message(kReplica, current_reply(test.output.heartbeats[0], 0), kStart);
+    // While it looked for a replica nothing was reported.
+    CHECK(test.output.heartbeats[0].observations.empty());
+    REQUIRE(test.output.heartbeats.size() == 2);
+    CHECK(test.output.heartbeats[1].observations == test.output.seen);
+    test.client.on_tick(0, kStart + milliseconds(510));
+    const std::size_t before = test.output.heartbeats.size();
+    test.client.on_tick(0, kStart + milliseconds(600));
+    CHECK(test.output.heartbeats.size() == before);
+    test.output.urgent = true;
+    test.client.on_tick(0, kStart + milliseconds(700));
+    CHECK(test.output.heartbeats.size() == before + 1);
+    HeartbeatReply reply = current_reply(test.output.heartbeats.back(), 0);
+    reply.figures = TargetFigures{9, {{7, 130, true}}};
+    test.client.on_message(kReplica, reply, kStart + milliseconds(705));
+    CHECK(test.output.figures == reply.figures->figures);
+    // Pushed ones count, too; the edition that is held is told.
+    test.client.on_message(kReplica, TargetFigures{10, {}}, kStart + milliseconds(710));
+    CHECK(test.output.figures.empty());
+    test.client.on_tick(0, kStart + milliseconds(1300));
+    CHECK(test.output.heartbeats.back().figures_edition == 10);
+  }
+
   TEST_CASE("a silent replica keeps nobody from the one where it should be") {
     Observer test{{kReplica, kOther, kThird}};
     CHECK(settle(test, {{kReplica, "y"}, {kOther, "z"}}) == kOther);
--- a/tests/unit/test_control_node.cc
+++ b/tests/unit/test_control_node.cc
@@ -135,6 +135,42 @@
     CHECK(find_target(state, 5)->phase == TargetPhase::kSilent);
   }
 
+  TEST_CASE("a target that one balancer saw refuse is told to those of all replicas at once") {
+    Cluster cluster;
+    cluster.run(std::chrono::seconds(3));
+    const std::uint32_t leader = cluster.leader();
+    REQUIRE(leader != 0);
+    RegistrationCommand command;
+    command.announced.push_back(announce(1));
+    REQUIRE(cluster.node(leader).propose(command, cluster.now()));
+    cluster.run(milliseconds(200));
+    const FlowToken token = cluster.node(leader).state().fleet().steering.targets[0].token;
+    // One balancer at each replica.
+    for (std::uint32_t i = 1; i <= 3; ++i) {
+      NodeHeartbeat heartbeat;
+      heartbeat.member.address = {100 + i, 6000};
+      heartbeat.member.state = MemberState::kObserver;
+      cluster.node(i).on_node_message({100 + i, 6000}, heartbeat, cluster.now());
+    }
+    const std::uint32_t follower = leader == 1 ? 2 : 1;
+    NodeHeartbeat heartbeat;
+    heartbeat.member.address = {100 + follower, 6000};
+    heartbeat.member.state = MemberState::kObserver;
+    heartbeat.observations.push_back({token, 0, 0, 1, 1, 0});
+    cluster.node(follower).on_node_message({100 + follower, 6000}, heartbeat, cluster.now());
+    cluster.run(milliseconds(400));
+    for (std::uint32_t i = 1; i <= 3; ++i) {
+      int told = 0;
+      for (const auto& [to, message] : cluster.output(i).to_nodes) {
+        const auto* figures = std::get_if<TargetFigures>(&message);
+        const bool names_it = figures != nullptr && !figures->figures.empty() &&
+                              figures->figures[0] == TargetFigure{token, 100, true};
+        told += to == Endpoint{100 + i, 6000} && names_it ? 1 : 0;
+      }
+      CHECK(told == 1);
+    }
+  }
+
   TEST_CASE("a whole state is not sent again while it is under way, and is when it was lost") {
     Cluster cluster;
     cluster.run(std::chrono::seconds(3));
--- a/tests/unit/test_flow_steering.cc
+++ b/tests/unit/test_flow_steering.cc
@@ -10,6 +10,7 @@
 namespace {
 
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 constexpr Instant kStart{std::chrono::seconds(1000)};
 constexpr Endpoint kFrontend{0xC6120001, 443};
@@ -57,7 +58,7 @@
 struct SteeringBalancer {
   explicit SteeringBalancer(const SteeringState& state) {
     steering.adopt(state, kStart);
-    steering.confirm();
+    steering.confirm(kStart);
   }
   FlowSteering steering{7};
 };
@@ -171,6 +172,74 @@
     CHECK(late_to_dead == 0);
   }
 
+  TEST_CASE("a target that refuses a flow is avoided at once, and a lost packet is no refusal") {
+    SteeringBalancer test(make_state({{"alpha", 1}}, {target(1, "alpha"), target(2, "alpha")}));
+    Instant now = kStart + seconds(2);
+    const auto refused = test.steering.on_packet(opening(1), now);
+    // The caller of the second flow sends a copy: it was told nothing.
+    const auto lost = test.steering.on_packet(opening(2), now);
+    REQUIRE(refused.target != nullptr);
+    REQUIRE(lost.target != nullptr);
+    const TargetId down = refused.target->id;
+    REQUIRE(lost.target->id != down);
+    test.steering.on_packet(opening(2, 1), now + milliseconds(200));
+    now += milliseconds(310);
+    test.steering.on_tick(now);
+    CHECK(test.steering.has_trouble());
+    for (std::uint16_t port = 10; port < 30; ++port) {
+      CHECK(test.steering.on_packet(opening(port), now).target->id != down);
+    }
+    for (const auto& seen : test.steering.take_observations()) {
+      const bool is_down = seen.token == 100 + down;
+      CHECK(seen.refused == (is_down ? 1 : 0));
+      CHECK(seen.unanswered == (is_down ? 0 : 1));
+    }
+    CHECK_FALSE(test.steering.has_trouble());
+  }
+
+  TEST_CASE("a request without an answer is told, unless it may have gone on elsewhere") {
+    // Found on the bench: balancers that had just started blamed targets for the answers to packets
+    // that were held at the start.
+    for (const bool stops : {false, true}) {
+      SteeringBalancer test(make_state({{"alpha", 1}}, {target(1, "alpha")}));
+      test.steering.on_packet(later(1, 101, 1, 500), kStart + milliseconds(500));
+      Instant now = kStart + seconds(2);
+      test.steering.on_packet(later(2, 101, 1, 500), now);
+      test.steering.on_packet(later(3, 101, 1, 500), now);
+      test.steering.on_packet(later(3, 101, 2), now + milliseconds(30));
+      if (stops) {
+        test.steering.stop_observing();
+      }
+      test.steering.on_tick(now + milliseconds(500));
+      const auto seen = test.steering.take_observations();
+      REQUIRE(seen.size() == 1);
+      CHECK(seen[0].requests == 3);
+      CHECK(seen[0].stalled == (stops ? 0 : 1));
+    }
+  }
+
+  TEST_CASE("figures of all balancers decide between targets of the same load") {
+    SteeringState state = make_state({{"alpha", 1}}, {});
+    for (TargetId id = 1; id <= 4; ++id) {
+      state.targets.push_back(target(id, "alpha"));
+      state.targets.back().zone = id <= 2 ? "near" : "far";
+    }
+    std::map<TargetId, int> flows;
+    for (std::uint64_t seed = 0; seed < 1000; ++seed) {
+      FlowSteering balancer(seed, "near");
+      balancer.adopt(state, kStart);
+      balancer.confirm(kStart);
+      balancer.set_figures({{101, 120, false}, {104, 100, true}});
+      ++flows[balancer.on_packet(opening(1), kStart).target->id];
+    }
+    // Near ones win often, the one with the higher pressure less often, the troubled one never; but
+    // not all choose the same one, which would only move the pressure.
+    CHECK(flows[4] == 0);
+    CHECK(flows[2] > flows[1] + 100);
+    CHECK(flows[1] > flows[3]);
+    CHECK(flows[3] > 50);
+  }
+
   TEST_CASE("new flows spread evenly, and shares of pools hold") {
     SteeringBalancer test(make_state(
         {{"alpha", 9}, {"beta", 1}},
@@ -251,7 +320,7 @@
     steering.adopt(state, kStart);
     // Its target was replaced by what is known; that may be corrected, so nothing is reset.
     CHECK(steering.on_packet(later(1, 101), kStart).reason == SteeringReason::kNoState);
-    steering.confirm();
+    steering.confirm(kStart);
     CHECK(steering.on_packet(later(1, 101), kStart).action == SteeringAction::kReset);
     CHECK(steering.on_packet(opening(2), kStart).target->id == 2);
   }
