Admit what a starting balancer held as targets take it; name the steering policy

Cause: after a loss of all, hundreds of held openings went to the targets at once, with their copies and the oldest first.

Hypothesis: admitted as targets answer, the fresh first, more requests meet their aim.

--- /dev/null
+++ b/src/core/steering/caller_packet.h
@@ -0,0 +1,27 @@
+/// A packet of a caller as steering sees it, whatever it looks like on the wire.
+#pragma once
+
+#include <cstdint>
+
+#include "core/steering/flow_table.h"
+#include "model/steering.h"
+
+namespace gorsevalve {
+
+/// What steering reads of a packet from a caller.
+struct CallerPacket {
+  SteeredFlow flow;
+  bool opens = false;
+  bool closes = false;
+  bool resets = false;
+  /// Copies of the opening packet that went before this one.
+  std::uint32_t copies_before = 0;
+  /// How long ago the caller sent the first copy of an opening packet.
+  Duration age{0};
+  /// Last octet that the caller has of the other end.
+  std::uint32_t acknowledged = 0;
+  std::uint32_t data_size = 0;
+  FlowToken token = 0;
+};
+
+}  // namespace gorsevalve
--- a/src/core/steering/flow_steering.cc
+++ b/src/core/steering/flow_steering.cc
@@ -9,9 +9,6 @@
 namespace gorsevalve {
 namespace {
 
-/// The first copy of an opening packet goes where the first one went, since a lost packet is
-/// likelier than a lost target; later ones go elsewhere.
-constexpr std::uint32_t kCopiesAtSameTarget = 1;
 /// When a first opening packet is followed by nothing for this long, not even by a copy, which
 /// callers send after 200 ms, the caller was told that there is no flow.
 constexpr Duration kRefusedAfter = std::chrono::milliseconds(300);
@@ -22,9 +19,6 @@
 constexpr Duration kObservationPause = std::chrono::seconds(1);
 constexpr std::uint64_t kTieSalt = 0x7469650000ULL;
 
-/// Loads within one step count as the same where figures of all balancers can decide.
-constexpr double kLoadStep = 1;
-
 /// How good a target is for a new flow; the least one is chosen.
 struct Rank {
   bool is_doubtful = true;
@@ -130,6 +124,38 @@
   return {action, SteeringReason::kNoFrontend, nullptr};
 }
 
+std::size_t FlowSteering::under_way(std::uint32_t pool, Instant now) const {
+  std::size_t count = 0;
+  const auto is_in_pool = [&](const Expectation& expected) {
+    const RegisteredTarget* target = view_.target_by_id(expected.target);
+    return target != nullptr && view_.is_in_pool(*target, pool);
+  };
+  for (const auto& request : requests_) {
+    const FlowEntry* entry = flows_.find(request.flow);
+    const bool waits =
+        now - request.at < kStalledAfter && entry != nullptr && entry->request_since == request.at;
+    count += waits && is_in_pool(request) ? 1 : 0;
+  }
+  for (const auto& opening : openings_) {
+    const FlowEntry* entry = flows_.find(opening.flow);
+    const bool waits = now - opening.at < kRefusedAfter && entry != nullptr &&
+                       entry->phase == FlowPhase::kOpening && entry->target == opening.target;
+    count += waits && is_in_pool(opening) ? 1 : 0;
+  }
+  return count;
+}
+
+bool FlowSteering::has_room(const CallerPacket& packet, Instant now) const {
+  const FrontendView* frontend = view_.frontend(packet.flow.frontend);
+  const bool brings_request = packet.opens || packet.data_size > 0;
+  if (frontend == nullptr || !brings_request) {
+    return true;
+  }
+  return std::all_of(frontend->shares.begin(), frontend->shares.end(), [&](const PoolShare& share) {
+    return static_cast<double>(under_way(share.pool, now)) < policy_.requests_at_once;
+  });
+}
+
 SteeringDecision FlowSteering::follow_unconfirmed(const CallerPacket& packet, Instant now) {
   constexpr SteeringDecision kUndecided{SteeringAction::kDrop, SteeringReason::kNoState, nullptr};
   const FrontendView* frontend = view_.frontend(packet.flow.frontend);
@@ -153,7 +179,7 @@
       entry->has_copy = true;
       scores_.on_unanswered(entry->target, now);
     }
-    if (usable && packet.copies_before <= kCopiesAtSameTarget &&
+    if (usable && packet.copies_before <= policy_.copies_at_same_target &&
         !scores_.is_suspected(entry->target, now)) {
       return {SteeringAction::kForward, SteeringReason::kCopy, before};
     }
@@ -165,9 +191,7 @@
   }
   note(packet, target->id, now);
   scores_.on_placed(target->id);
-  if (packet.copies_before == 0 && now >= observes_from_) {
-    openings_.push_back({packet.flow, target->id, now});
-  }
+  openings_.push_back({packet.flow, target->id, now, packet.copies_before == 0});
   const SteeringReason reason =
       avoided == 0 ? SteeringReason::kPlaced : SteeringReason::kPlacedAgain;
   return {SteeringAction::kForward, reason, target};
@@ -256,7 +280,8 @@
   const std::uint64_t flow_key = packed(packet.flow.caller) ^ seed_;
   // Without figures of all balancers, the own view decides alone.
   const auto rounded = [&](double load) {
-    return scores_.has_figures() ? std::floor(load / kLoadStep) : load;
+    const bool is_stepped = policy_.load_step > 0 && scores_.has_figures();
+    return is_stepped ? std::floor(load / policy_.load_step) : load;
   };
   const RegisteredTarget* best = nullptr;
   Rank best_rank;
@@ -307,9 +332,7 @@
   if (packet.data_size > 0 && !entry.request_since) {
     entry.request_since = now;
     scores_.on_request(entry.target);
-    if (now >= observes_from_) {
-      requests_.push_back({packet.flow, entry.target, now});
-    }
+    requests_.push_back({packet.flow, entry.target, now});
   }
   entry.acknowledged = packet.acknowledged;
 }
@@ -357,7 +380,8 @@
   while (!openings_.empty() && now - openings_.front().at >= kRefusedAfter) {
     const Expectation& opening = openings_.front();
     const FlowEntry* entry = flows_.find(opening.flow);
-    const bool is_refused = entry != nullptr && entry->phase == FlowPhase::kOpening &&
+    const bool is_refused = opening.tells && opening.at >= observes_from_ && entry != nullptr &&
+                            entry->phase == FlowPhase::kOpening &&
                             entry->target == opening.target && !entry->has_copy;
     if (is_refused) {
       scores_.on_refused(opening.target, now);
@@ -370,8 +394,9 @@
   while (!requests_.empty() && now - requests_.front().at >= kStalledAfter) {
     const Expectation& request = requests_.front();
     const FlowEntry* entry = flows_.find(request.flow);
-    const bool is_stalled = entry != nullptr && entry->target == request.target &&
-                            entry->phase == FlowPhase::kOpen && entry->request_since == request.at;
+    const bool is_stalled = request.at >= observes_from_ && entry != nullptr &&
+                            entry->target == request.target && entry->phase == FlowPhase::kOpen &&
+                            entry->request_since == request.at;
     if (is_stalled) {
       scores_.on_stalled(request.target);
     }
--- a/src/core/steering/flow_steering.h
+++ b/src/core/steering/flow_steering.h
@@ -7,26 +7,14 @@
 #include <string>
 #include <utility>
 
+#include "core/steering/caller_packet.h"
 #include "core/steering/flow_table.h"
+#include "core/steering/steering_policy.h"
 #include "core/steering/steering_view.h"
 #include "core/steering/target_scores.h"
 
 namespace gorsevalve {
 
-/// What steering reads of a packet from a caller.
-struct CallerPacket {
-  SteeredFlow flow;
-  bool opens = false;
-  bool closes = false;
-  bool resets = false;
-  /// Copies of the opening packet that went before this one.
-  std::uint32_t copies_before = 0;
-  /// Last octet that the caller has of the other end.
-  std::uint32_t acknowledged = 0;
-  std::uint32_t data_size = 0;
-  FlowToken token = 0;
-};
-
 enum class SteeringAction : std::uint8_t {
   kForward = 0,
   /// Tell the caller at once that the flow does not exist here.
@@ -70,8 +58,9 @@
 class FlowSteering {
  public:
   /// `seed` makes balancers break ties differently; targets in `zone` are near.
-  explicit FlowSteering(std::uint64_t seed, std::string zone = {})
-      : seed_(seed), scores_(std::move(zone)) {}
+  explicit FlowSteering(std::uint64_t seed, std::string zone = {},
+                        const SteeringPolicy& policy = {})
+      : seed_(seed), policy_(policy), scores_(std::move(zone), policy) {}
 
   /// Takes a newer state. Never called with an older one.
   void adopt(const SteeringState& state, Instant now);
@@ -79,6 +68,13 @@
   void apply(const SteeringDelta& delta, Instant now);
 
   SteeringDecision on_packet(const CallerPacket& packet, Instant now);
+  /// True while the pools that the packet may go to have room for one more request of this
+  /// balancer. Packets that bring no request always have.
+  [[nodiscard]] bool has_room(const CallerPacket& packet, Instant now) const;
+  /// nullptr when no settings name it.
+  [[nodiscard]] const FrontendView* frontend(const Endpoint& address) const {
+    return view_.frontend(address);
+  }
   /// The state is the newest. Until then it may be what a replica knew before a loss of all: open
   /// flows go on by it, and everything else is kNoState.
   void confirm(Instant now);
@@ -118,10 +114,13 @@
   void note_request(FlowEntry& entry, const CallerPacket& packet, Instant now);
   void check_openings(Instant now);
   void check_requests(Instant now);
+  /// Requests and openings of the last moments that targets of the pool have not answered.
+  [[nodiscard]] std::size_t under_way(std::uint32_t pool, Instant now) const;
   void end_request(FlowEntry& entry);
   void remove_load(const FlowEntry& entry);
 
   std::uint64_t seed_;
+  SteeringPolicy policy_;
   bool is_confirmed_ = false;
   /// What happened before tells nothing of targets.
   Instant observes_from_;
@@ -132,6 +131,8 @@
     SteeredFlow flow;
     TargetId target = 0;
     Instant at;
+    /// Nothing that follows tells something of the target.
+    bool tells = true;
   };
   /// Flows that were placed, and requests that began lately, in order.
   std::deque<Expectation> openings_;
--- a/src/core/steering/target_scores.cc
+++ b/src/core/steering/target_scores.cc
@@ -11,8 +11,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-/// Unanswered opening packets that make a target suspected.
-constexpr std::uint32_t kSuspectAfter = 2;
 constexpr Duration kSuspicion = seconds(2);
 /// A target that refuses flows is down; one that goes up and down stays suspected over its ups.
 constexpr Duration kRefusalSuspicion = seconds(5);
@@ -20,20 +18,8 @@
 constexpr double kSmoothing = 0.2;
 /// A sample is believed for this long.
 constexpr Duration kAnswerLifetime = seconds(8);
-/// A target counts as slow from this multiple of the usual answer time on.
-constexpr double kSlowFactor = 1.8;
 constexpr double kMaxPenalty = 8;
-/// How much work a warming target takes compared with a warm one, inverted.
-constexpr double kColdPenalty = 1.6;
-/// A request under way weighs as much as this many open flows.
-constexpr double kBusyWeight = 2;
-/// How strongly the pressure that all balancers saw decides between targets of the same load. All
-/// balancers get the same figures, so the least pressure must not decide alone: they would all rush
-/// to the same target. Bounded: a new target is not filled up at once.
-constexpr double kPressureExponent = 4;
-/// How often a target in the own zone wins against one elsewhere: bytes between zones are dear, and
-/// pressures keep the loads of zones even.
-constexpr double kNearPreference = 4;
+/// Bounds of a pressure that decides: a new target is not filled up at once.
 constexpr double kLeastPressure = 80;
 constexpr double kMostPressure = 150;
 
@@ -118,7 +104,7 @@
   TargetScore& score = at(id);
   ++score.unanswered;
   ++score.unreported.unanswered;
-  if (score.unanswered >= kSuspectAfter) {
+  if (policy_.suspect_after > 0 && score.unanswered >= policy_.suspect_after) {
     score.suspected_until = now + kSuspicion;
   }
 }
@@ -132,6 +118,9 @@
 }
 
 void TargetScores::on_refused(TargetId id, Instant now) {
+  if (policy_.refusals <= 0) {
+    return;
+  }
   TargetScore& score = at(id);
   ++score.unreported.refused;
   score.suspected_until = now + kRefusalSuspicion;
@@ -139,16 +128,19 @@
 }
 
 double TargetScores::preference(const RegisteredTarget& target) const {
-  const double nearness = !zone_.empty() && target.zone == zone_ ? kNearPreference : 1;
+  const double nearness = !zone_.empty() && target.zone == zone_ ? policy_.near_preference : 1;
   const TargetScore* score = find(target.id);
   if (score == nullptr) {
     return nearness;
   }
   const double pressure = std::clamp<double>(score->figure.pressure, kLeastPressure, kMostPressure);
-  return nearness * std::pow(TargetFigure::kUsualPressure / pressure, kPressureExponent);
+  return nearness * std::pow(TargetFigure::kUsualPressure / pressure, policy_.pressure_exponent);
 }
 
 void TargetScores::on_stalled(TargetId id) {
+  if (policy_.stalls <= 0) {
+    return;
+  }
   ++at(id).unreported.stalled;
   has_trouble_ = true;
 }
@@ -169,12 +161,12 @@
   if (score == nullptr) {
     return 0;
   }
-  double penalty = now < score->warm_at ? kColdPenalty : 1;
+  double penalty = now < score->warm_at ? policy_.cold_penalty : 1;
   const double answer_us = recent_answer_us(target.id, now);
-  if (typical_us > 0 && answer_us > kSlowFactor * typical_us) {
+  if (policy_.slow_factor > 0 && typical_us > 0 && answer_us > policy_.slow_factor * typical_us) {
     penalty *= std::min(answer_us / typical_us, kMaxPenalty);
   }
-  const double work = score->open_flows + kBusyWeight * score->busy_flows + 1;
+  const double work = score->open_flows + policy_.busy_weight * score->busy_flows + 1;
   return work * penalty / std::max<std::uint32_t>(target.slots, 1);
 }
 
--- a/src/core/steering/target_scores.h
+++ b/src/core/steering/target_scores.h
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "core/steering/steering_policy.h"
 #include "model/steering.h"
 #include "model/target_figures.h"
 #include "model/time.h"
@@ -39,7 +40,8 @@
 class TargetScores {
  public:
   /// `zone` is the balancer's; without one, no target is near.
-  explicit TargetScores(std::string zone) : zone_(std::move(zone)) {}
+  TargetScores(std::string zone, const SteeringPolicy& policy)
+      : zone_(std::move(zone)), policy_(policy) {}
 
   /// Drops what is known of targets that are gone, and notes the warm-up of new ones.
   void adopt(const std::vector<RegisteredTarget>& targets, Instant now);
@@ -81,6 +83,7 @@
 
  private:
   std::string zone_;
+  SteeringPolicy policy_;
   absl::flat_hash_map<TargetId, TargetScore> scores_;
   absl::flat_hash_map<FlowToken, TargetId> by_token_;
   bool has_trouble_ = false;
--- a/src/tasks/steering_task.cc
+++ b/src/tasks/steering_task.cc
@@ -12,6 +12,8 @@
 constexpr Duration kStartTickInterval = milliseconds(100);
 constexpr ControlClientTiming kControlTiming{milliseconds(500), milliseconds(800),
                                              kStartTickInterval};
+/// Pause between two looks at held packets while there are some.
+constexpr Duration kReleaseInterval = milliseconds(10);
 /// Routers need this long to turn away; after it a stop waits for silence only.
 constexpr Duration kTurnAwayTime = milliseconds(1500);
 constexpr Duration kSilenceBeforeStop = milliseconds(700);
@@ -29,7 +31,7 @@
   self.socket_ = std::move(*socket);
   self.socket_->start([&self](ByteView datagram, const Endpoint& /*from*/) {
     const Instant now = monotonic_now();
-    self.on_datagram(datagram, now, now);
+    self.on_datagram(datagram, now);
   });
   loop.every(kTickInterval, [&self] { self.on_tick(); });
   self.tick_until_ready();
@@ -41,9 +43,10 @@
       config_(std::move(config)),
       format_(format),
       envelope_(config_.cluster, config_.keys, config_.self.address, config_.self.incarnation),
-      steering_(config_.self.incarnation, config_.self.zone),
+      steering_(config_.self.incarnation, config_.self.zone, config_.policy),
       control_(config_.self, config_.control, {}, *this),
-      network_(loop, [this](ByteView frame) { return on_frame(frame); }) {
+      network_(loop, [this](ByteView frame) { return on_frame(frame); }),
+      held_(config_.policy) {
   control_.set_timing(kControlTiming);
 }
 
@@ -66,26 +69,32 @@
   log_event(LogEvent::kStopping, {{"flows", steering_.flows()}});
 }
 
-void SteeringTask::on_datagram(ByteView datagram, Instant came_at, Instant now) {
+void SteeringTask::on_datagram(ByteView datagram, Instant now) {
   const auto packet = format_.parse(datagram);
   if (!packet) {
     ++counters_.malformed;
     return;
   }
   last_packet_ = now;
-  const SteeringDecision decision = steering_.on_packet(*packet, now);
+  if (held_.holds(packet->flow) || !decide(*packet, datagram, now)) {
+    held_.hold(*packet, datagram, now);
+  }
+}
+
+bool SteeringTask::decide(const CallerPacket& packet, ByteView datagram, Instant now) {
+  const SteeringDecision decision = steering_.on_packet(packet, now);
   ++counters_.packets[static_cast<std::size_t>(decision.reason)];
   if (decision.reason == SteeringReason::kNoState) {
-    held_.hold(datagram, came_at);
-    return;
+    return false;
   }
-  log_decision(*packet, decision);
+  log_decision(packet, decision);
   if (decision.action == SteeringAction::kForward) {
     forward(datagram, *decision.target);
   } else if (decision.action == SteeringAction::kReset) {
     ++counters_.resets;
-    socket_->send(format_.reset_destination(*packet), format_.make_reset(*packet));
+    socket_->send(format_.reset_destination(packet), format_.make_reset(packet));
   }
+  return true;
 }
 
 void SteeringTask::forward(ByteView datagram, const RegisteredTarget& target) {
@@ -96,16 +105,29 @@
   }
 }
 
-void SteeringTask::retry_held(Instant now) {
+void SteeringTask::release_held(Instant now) {
   if (held_.size() == 0) {
     return;
   }
-  for (const auto& packet : held_.take(now)) {
-    on_datagram(packet.bytes, packet.at, now);
-  }
+  held_.release(steering_, now,
+                [&](const HeldPacket& held) { return decide(held.packet, held.bytes, now); });
   socket_->flush();
 }
 
+void SteeringTask::keep_releasing() {
+  release_held(monotonic_now());
+  is_releasing_ = held_.size() > 0;
+  if (is_releasing_) {
+    loop_.after(kReleaseInterval, [this] { keep_releasing(); });
+  }
+}
+
+void SteeringTask::begin_releasing() {
+  if (!is_releasing_) {
+    keep_releasing();
+  }
+}
+
 void SteeringTask::log_decision(const CallerPacket& packet,
                                 const SteeringDecision& decision) const {
   if (decision.reason == SteeringReason::kToken) {
@@ -173,7 +195,7 @@
 
 void SteeringTask::on_fleet(const FleetState& fleet, Instant now) {
   steering_.adopt(fleet.steering, now);
-  on_revision(fleet, now);
+  on_revision(fleet);
 }
 
 void SteeringTask::on_deltas(const FleetState& fleet, const std::vector<FleetDelta>& deltas,
@@ -183,22 +205,22 @@
       steering_.apply(*delta.steering, now);
     }
   }
-  on_revision(fleet, now);
+  on_revision(fleet);
 }
 
-void SteeringTask::on_revision(const FleetState& fleet, Instant now) {
+void SteeringTask::on_revision(const FleetState& fleet) {
   log_event(LogEvent::kRevisionInForce, {{"revision", fleet.revision},
                                          {"operator_version", fleet.steering.settings.version},
                                          {"targets", fleet.steering.targets.size()},
                                          {"held_packets", held_.size()}});
-  retry_held(now);
+  begin_releasing();
 }
 
 void SteeringTask::on_confirmed(Instant now) {
   steering_.confirm(now);
   log_event(LogEvent::kRevisionConfirmed,
             {{"revision", control_.fleet().revision}, {"held_packets", held_.size()}});
-  retry_held(now);
+  begin_releasing();
 }
 
 }  // namespace gorsevalve
--- a/src/tasks/steering_task.h
+++ b/src/tasks/steering_task.h
@@ -43,6 +43,7 @@
   std::vector<Endpoint> control;
   std::string cluster;
   ClusterKeys keys;
+  SteeringPolicy policy;
   /// How long a planned stop may take.
   Duration stop_time = std::chrono::milliseconds(5000);
 };
@@ -77,10 +78,14 @@
  private:
   SteeringTask(EventLoop& loop, SteeringTaskConfig config, const PacketFormat& format);
 
-  /// `came_at` is earlier than now for a packet that was held.
-  void on_datagram(ByteView datagram, Instant came_at, Instant now);
+  void on_datagram(ByteView datagram, Instant now);
+  /// Forwards or resets; false when nothing can be decided yet.
+  bool decide(const CallerPacket& packet, ByteView datagram, Instant now);
   void forward(ByteView datagram, const RegisteredTarget& target);
-  void retry_held(Instant now);
+  /// Gives held packets again as far as targets have room.
+  void release_held(Instant now);
+  void begin_releasing();
+  void keep_releasing();
   std::optional<Endpoint> on_frame(ByteView frame);
   void on_tick();
   /// Asks the replicas more often until the first state is confirmed.
@@ -91,7 +96,7 @@
   void on_fleet(const FleetState& fleet, Instant now) override;
   void on_deltas(const FleetState& fleet, const std::vector<FleetDelta>& deltas,
                  Instant now) override;
-  void on_revision(const FleetState& fleet, Instant now);
+  void on_revision(const FleetState& fleet);
   void on_confirmed(Instant now) override;
   bool has_urgent_observations() override { return steering_.has_trouble(); }
   std::vector<TargetObservation> take_observations() override {
@@ -115,6 +120,7 @@
   FrameNetwork network_;
   std::unique_ptr<UdpSocket> socket_;
   HeldPackets held_;
+  bool is_releasing_ = false;
   SteeringCounters counters_;
   Instant last_packet_;
   std::optional<Instant> stop_since_;
