--- /dev/null
+++ b/scripts/ablation.py
@@ -0,0 +1,100 @@
+#!/usr/bin/env python3
+"""Switches off each mechanism of the steering policy alone, plays days in pairs, and writes a table.
+
+Usage: scripts/ablation.py --bench PATH --work FOLDER [--days NAME,...] [--seeds N] [--jobs N] [--only NAME,...] SITE...
+
+The tree is copied to FOLDER, where deploy/system.toml gets --steering_policy; the journal entries of all plays stay in
+FOLDER/journal. Days are played without a charge for processor time, so that pairs differ by the policy only.
+"""
+import argparse
+import concurrent.futures
+import json
+import pathlib
+import re
+import shutil
+import statistics
+import subprocess
+import tempfile
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+
+# What each row switches off, as fields of the policy.
+MECHANISMS = {
+    "all on": "",
+    "holding packets": "hold_ms=0",
+    "admission by room": "requests_at_once=1000000",
+    "fresh first": "fresh_first=0",
+    "first copy to the same target": "copies_at_same_target=0",
+    "suspicion after unanswered openings": "suspect_after=0",
+    "refusals": "refusals=0",
+    "stalls": "stalls=0",
+    "load steps (figures of all balancers)": "load_step=0",
+    "weight of requests under way": "busy_weight=0",
+    "cold penalty": "cold_penalty=1",
+    "slow targets": "slow_factor=0",
+    "pressure": "pressure_exponent=0",
+    "nearness": "near_preference=1",
+}
+
+
+def set_policy(tree: pathlib.Path, policy: str) -> None:
+    """Writes the policy into the command of the balancer's role."""
+    path = tree / "deploy/system.toml"
+    command = "target/gorsevalve-platform-balancer" + (f" --steering_policy={policy}" if policy else "")
+    text = re.sub(r'^run = "target/gorsevalve-platform-balancer.*$', f'run = "{command}"',
+                  path.read_text(), flags=re.M)
+    path.write_text(text)
+
+
+def play(bench: str, tree: pathlib.Path, site: str, day: str, seed: int, name: str):
+    """Worth and share served of one day; nothing when it could not be played."""
+    with tempfile.NamedTemporaryFile(suffix=".json") as report:
+        subprocess.run([bench, "run", site, day, "--seed", str(seed), "--no-cpu", "--report", report.name, "--why",
+                        f"ablation: without {name}" if name != "all on" else "ablation: all on"],
+                       cwd=tree, capture_output=True, timeout=900, check=False)
+        try:
+            result = json.loads(pathlib.Path(report.name).read_text())
+        except json.JSONDecodeError:
+            return None
+    return result["G"], result["served"], bool(result["breaks"] or result["fault"])
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("--bench", required=True)
+    parser.add_argument("--work", required=True, type=pathlib.Path)
+    parser.add_argument("--days", default="trouble-1,scale-1")
+    parser.add_argument("--seeds", type=int, default=3)
+    parser.add_argument("--jobs", type=int, default=4)
+    parser.add_argument("--only", default="")
+    parser.add_argument("sites", nargs="+")
+    arguments = parser.parse_args()
+    if not arguments.work.exists():
+        shutil.copytree(ROOT, arguments.work, ignore=shutil.ignore_patterns("build", "target", "run", "journal"))
+        (arguments.work / "journal").mkdir()
+    names = [name for name in MECHANISMS if not arguments.only or name in arguments.only.split(",")]
+    pairs = [(day, seed) for day in arguments.days.split(",") for seed in range(1, arguments.seeds + 1)]
+    print("| Site | Without | Change of worth: mean, least, greatest | Change of share served | Broken |")
+    print("|---|---|---|---|---|")
+    for site in arguments.sites:
+        usual = {}
+        for name in names:
+            set_policy(arguments.work, MECHANISMS[name])
+            with concurrent.futures.ThreadPoolExecutor(max_workers=min(arguments.jobs, 4)) as pool:
+                rows = dict(zip(pairs, pool.map(
+                    lambda pair, name=name: play(arguments.bench, arguments.work, site, *pair, name), pairs)))
+            rows = {pair: row for pair, row in rows.items() if row is not None}
+            if name == "all on":
+                usual = rows
+            both = [pair for pair in rows if pair in usual]
+            worth = [rows[pair][0] - usual[pair][0] for pair in both]
+            served = [rows[pair][1] - usual[pair][1] for pair in both]
+            broken = sum(rows[pair][2] for pair in both)
+            if both:
+                print(f"| {pathlib.Path(site).stem} | {name} | {statistics.mean(worth):+.4f}, {min(worth):+.4f}, "
+                      f"{max(worth):+.4f} | {statistics.mean(served):+.4f} | {broken} of {len(both)} |", flush=True)
+    set_policy(arguments.work, "")
+
+
+if __name__ == "__main__":
+    main()
--- a/src/storage/log_store.h
+++ b/src/storage/log_store.h
@@ -60,7 +60,7 @@
 class LogStore {
  public:
   /// Format 2 added LogFrame::committed.
-  static constexpr std::uint32_t kFormat = 2;
+  static constexpr std::uint32_t kFormat = 3;
   /// A new segment begins at this size, in octets.
   static constexpr std::uint64_t kSegmentSize = 4U << 20U;
 
