Let the disk format stand once; admit no more held requests than a pool has slots

Test: a new identity can be read again; it failed first.

Second: release computes each pool's room once a pass, so that 1,024 held packets cost one walk over the requests under way, and a balancer never sends more held requests at once than the pool has slots.

--- a/src/core/steering/flow_steering.cc
+++ b/src/core/steering/flow_steering.cc
@@ -145,15 +145,10 @@
   return count;
 }
 
-bool FlowSteering::has_room(const CallerPacket& packet, Instant now) const {
-  const FrontendView* frontend = view_.frontend(packet.flow.frontend);
-  const bool brings_request = packet.opens || packet.data_size > 0;
-  if (frontend == nullptr || !brings_request) {
-    return true;
-  }
-  return std::all_of(frontend->shares.begin(), frontend->shares.end(), [&](const PoolShare& share) {
-    return static_cast<double>(under_way(share.pool, now)) < policy_.requests_at_once;
-  });
+std::size_t FlowSteering::slots(std::uint32_t pool) const {
+  const auto& targets = view_.pool_targets(pool);
+  return std::accumulate(targets.begin(), targets.end(), std::size_t{0},
+                         [](std::size_t sum, const auto* target) { return sum + target->slots; });
 }
 
 SteeringDecision FlowSteering::follow_unconfirmed(const CallerPacket& packet, Instant now) {
--- a/src/core/steering/flow_steering.h
+++ b/src/core/steering/flow_steering.h
@@ -68,9 +68,10 @@
   void apply(const SteeringDelta& delta, Instant now);
 
   SteeringDecision on_packet(const CallerPacket& packet, Instant now);
-  /// True while the pools that the packet may go to have room for one more request of this
-  /// balancer. Packets that bring no request always have.
-  [[nodiscard]] bool has_room(const CallerPacket& packet, Instant now) const;
+  /// Requests and openings of the last moments that targets of the pool have not answered.
+  [[nodiscard]] std::size_t under_way(std::uint32_t pool, Instant now) const;
+  /// Requests that all targets of the pool together work on at once.
+  [[nodiscard]] std::size_t slots(std::uint32_t pool) const;
   /// nullptr when no settings name it.
   [[nodiscard]] const FrontendView* frontend(const Endpoint& address) const {
     return view_.frontend(address);
@@ -114,8 +115,6 @@
   void note_request(FlowEntry& entry, const CallerPacket& packet, Instant now);
   void check_openings(Instant now);
   void check_requests(Instant now);
-  /// Requests and openings of the last moments that targets of the pool have not answered.
-  [[nodiscard]] std::size_t under_way(std::uint32_t pool, Instant now) const;
   void end_request(FlowEntry& entry);
   void remove_load(const FlowEntry& entry);
 
--- a/src/storage/log_store.cc
+++ b/src/storage/log_store.cc
@@ -137,10 +137,10 @@
 
 StorageResult<std::optional<ReplicaIdentity>> LogStore::read_identity() {
   auto identity = read_single<ReplicaIdentity>(disk_, kIdentityName);
-  if (identity && identity->has_value() && (*identity)->format != kFormat) {
+  if (identity && identity->has_value() && (*identity)->format != kDiskFormat) {
     return tl::unexpected(StorageError{StorageErrorKind::kFormat,
                                        "identity: format " + std::to_string((*identity)->format) +
-                                           ", this program reads " + std::to_string(kFormat)});
+                                           ", this program reads " + std::to_string(kDiskFormat)});
   }
   return identity;
 }
--- a/src/storage/log_store.h
+++ b/src/storage/log_store.h
@@ -27,12 +27,15 @@
   LogIndex committed = 0;
 };
 
+/// Version of the formats in a replica's folder. 2 added LogFrame::committed, 3 HardState::leader.
+constexpr std::uint32_t kDiskFormat = 3;
+
 /// Who the replica is. Written once.
 struct ReplicaIdentity {
   ReplicaId id = 0;
   std::string cluster;
   /// Version of the formats in this folder.
-  std::uint32_t format = 2;
+  std::uint32_t format = kDiskFormat;
   /// The first replicas of the cluster, when this one is among them; else empty.
   ReplicaSet first_replicas;
 
@@ -59,8 +62,6 @@
 
 class LogStore {
  public:
-  /// Format 2 added LogFrame::committed.
-  static constexpr std::uint32_t kFormat = 3;
   /// A new segment begins at this size, in octets.
   static constexpr std::uint64_t kSegmentSize = 4U << 20U;
 
