Take out admission by room and fresh first: worth nothing in pairs; keep one copy of a held opening

Both are reverted, with the test of room and the test of order that belonged to them alone; the order that is left, that of arrival, has a test.

Kept: one packet of each held opening, with the flow's age, dropped when its caller gave up.

--- a/scripts/ablation.py
+++ b/scripts/ablation.py
@@ -22,8 +22,6 @@
 MECHANISMS = {
     "all on": "",
     "holding packets": "hold_ms=0",
-    "admission by room": "requests_at_once=1000000",
-    "fresh first": "fresh_first=0",
     "first copy to the same target": "copies_at_same_target=0",
     "suspicion after unanswered openings": "suspect_after=0",
     "refusals": "refusals=0",
--- a/src/core/control/control_node.cc
+++ b/src/core/control/control_node.cc
@@ -267,13 +267,15 @@
 }
 
 std::optional<Proposal> ControlNode::propose(const SteeringCommand& command, Instant now) {
-  const auto index = replica_->propose(EntryType::kSteering, encode_archive(command), now);
-  push_updates(now);
-  return index ? std::optional(Proposal{*index, replica_->term()}) : std::nullopt;
+  return propose_entry(EntryType::kSteering, encode_archive(command), now);
 }
 
 std::optional<Proposal> ControlNode::propose(const RegistrationCommand& command, Instant now) {
-  const auto index = replica_->propose(EntryType::kRegistrations, encode_archive(command), now);
+  return propose_entry(EntryType::kRegistrations, encode_archive(command), now);
+}
+
+std::optional<Proposal> ControlNode::propose_entry(EntryType type, Bytes payload, Instant now) {
+  const auto index = replica_->propose(type, std::move(payload), now);
   push_updates(now);
   return index ? std::optional(Proposal{*index, replica_->term()}) : std::nullopt;
 }
--- a/src/core/control/control_node.h
+++ b/src/core/control/control_node.h
@@ -131,6 +131,7 @@
   void handle(const Endpoint& from, const FleetUpdate& update, Instant now);
   void handle(const Endpoint& from, const ReplicaReport& report, Instant now);
   void handle(const Endpoint& from, const ReportReply& reply, Instant now);
+  std::optional<Proposal> propose_entry(EntryType type, Bytes payload, Instant now);
   void send_update(const Endpoint& to, Revision revision, std::uint64_t digest);
   void push_updates(Instant now);
   void report_to_leader(Instant now);
--- a/src/core/steering/caller_packet.h
+++ b/src/core/steering/caller_packet.h
@@ -22,9 +22,6 @@
   std::uint32_t acknowledged = 0;
   std::uint32_t data_size = 0;
   FlowToken token = 0;
-
-  /// True when a target gets work by it, now or with what follows.
-  [[nodiscard]] bool brings_request() const { return opens || data_size > 0; }
 };
 
 }  // namespace gorsevalve
--- a/src/core/steering/flow_steering.cc
+++ b/src/core/steering/flow_steering.cc
@@ -124,33 +124,6 @@
   return {action, SteeringReason::kNoFrontend, nullptr};
 }
 
-std::size_t FlowSteering::under_way(std::uint32_t pool, Instant now) const {
-  std::size_t count = 0;
-  const auto is_in_pool = [&](const Expectation& expected) {
-    const RegisteredTarget* target = view_.target_by_id(expected.target);
-    return target != nullptr && view_.is_in_pool(*target, pool);
-  };
-  for (const auto& request : requests_) {
-    const FlowEntry* entry = flows_.find(request.flow);
-    const bool waits =
-        now - request.at < kStalledAfter && entry != nullptr && entry->request_since == request.at;
-    count += waits && is_in_pool(request) ? 1 : 0;
-  }
-  for (const auto& opening : openings_) {
-    const FlowEntry* entry = flows_.find(opening.flow);
-    const bool waits = now - opening.at < kRefusedAfter && entry != nullptr &&
-                       entry->phase == FlowPhase::kOpening && entry->target == opening.target;
-    count += waits && is_in_pool(opening) ? 1 : 0;
-  }
-  return count;
-}
-
-std::size_t FlowSteering::slots(std::uint32_t pool) const {
-  const auto& targets = view_.pool_targets(pool);
-  return std::accumulate(targets.begin(), targets.end(), std::size_t{0},
-                         [](std::size_t sum, const auto* target) { return sum + target->slots; });
-}
-
 SteeringDecision FlowSteering::follow_unconfirmed(const CallerPacket& packet, Instant now) {
   constexpr SteeringDecision kUndecided{SteeringAction::kDrop, SteeringReason::kNoState, nullptr};
   const FrontendView* frontend = view_.frontend(packet.flow.frontend);
@@ -186,7 +159,9 @@
   }
   note(packet, target->id, now);
   scores_.on_placed(target->id);
-  openings_.push_back({packet.flow, target->id, now, packet.copies_before == 0});
+  if (packet.copies_before == 0 && now >= observes_from_) {
+    openings_.push_back({packet.flow, target->id, now});
+  }
   const SteeringReason reason =
       avoided == 0 ? SteeringReason::kPlaced : SteeringReason::kPlacedAgain;
   return {SteeringAction::kForward, reason, target};
@@ -327,7 +302,9 @@
   if (packet.data_size > 0 && !entry.request_since) {
     entry.request_since = now;
     scores_.on_request(entry.target);
-    requests_.push_back({packet.flow, entry.target, now});
+    if (now >= observes_from_) {
+      requests_.push_back({packet.flow, entry.target, now});
+    }
   }
   entry.acknowledged = packet.acknowledged;
 }
@@ -375,8 +352,7 @@
   while (!openings_.empty() && now - openings_.front().at >= kRefusedAfter) {
     const Expectation& opening = openings_.front();
     const FlowEntry* entry = flows_.find(opening.flow);
-    const bool is_refused = opening.tells && opening.at >= observes_from_ && entry != nullptr &&
-                            entry->phase == FlowPhase::kOpening &&
+    const bool is_refused = entry != nullptr && entry->phase == FlowPhase::kOpening &&
                             entry->target == opening.target && !entry->has_copy;
     if (is_refused) {
       scores_.on_refused(opening.target, now);
@@ -389,9 +365,8 @@
   while (!requests_.empty() && now - requests_.front().at >= kStalledAfter) {
     const Expectation& request = requests_.front();
     const FlowEntry* entry = flows_.find(request.flow);
-    const bool is_stalled = request.at >= observes_from_ && entry != nullptr &&
-                            entry->target == request.target && entry->phase == FlowPhase::kOpen &&
-                            entry->request_since == request.at;
+    const bool is_stalled = entry != nullptr && entry->target == request.target &&
+                            entry->phase == FlowPhase::kOpen && entry->request_since == request.at;
     if (is_stalled) {
       scores_.on_stalled(request.target);
     }
--- a/src/core/steering/flow_steering.h
+++ b/src/core/steering/flow_steering.h
@@ -68,10 +68,6 @@
   void apply(const SteeringDelta& delta, Instant now);
 
   SteeringDecision on_packet(const CallerPacket& packet, Instant now);
-  /// Requests and openings of the last moments that targets of the pool have not answered.
-  [[nodiscard]] std::size_t under_way(std::uint32_t pool, Instant now) const;
-  /// Requests that all targets of the pool together work on at once.
-  [[nodiscard]] std::size_t slots(std::uint32_t pool) const;
   /// nullptr when no settings name it.
   [[nodiscard]] const FrontendView* frontend(const Endpoint& address) const {
     return view_.frontend(address);
@@ -130,8 +126,6 @@
     SteeredFlow flow;
     TargetId target = 0;
     Instant at;
-    /// Nothing that follows tells something of the target.
-    bool tells = true;
   };
   /// Flows that were placed, and requests that began lately, in order.
   std::deque<Expectation> openings_;
--- a/src/core/steering/flow_table.cc
+++ b/src/core/steering/flow_table.cc
@@ -13,11 +13,6 @@
   return found == entries_.end() ? nullptr : &found->second;
 }
 
-const FlowEntry* FlowTable::find(const SteeredFlow& flow) const {
-  const auto found = entries_.find(flow);
-  return found == entries_.end() ? nullptr : &found->second;
-}
-
 FlowEntry* FlowTable::insert(const SteeredFlow& flow, const FlowEntry& entry) {
   if (entries_.size() >= kMaxEntries) {
     return nullptr;
--- a/src/core/steering/flow_table.h
+++ b/src/core/steering/flow_table.h
@@ -46,7 +46,6 @@
   using Visitor = std::function<void(const FlowEntry&)>;
 
   [[nodiscard]] FlowEntry* find(const SteeredFlow& flow);
-  [[nodiscard]] const FlowEntry* find(const SteeredFlow& flow) const;
   /// A new entry; nullptr when the table is full.
   FlowEntry* insert(const SteeredFlow& flow, const FlowEntry& entry);
   /// Drops entries that have rested for longer than their phase allows; tells each.
--- a/src/core/steering/held_packets.h
+++ b/src/core/steering/held_packets.h
@@ -1,7 +1,6 @@
 /// Packets that came before a starting balancer could decide about them, kept so that callers need
-/// not wait for their next copy. They are given again with each newer state, and no faster than
-/// targets take requests: after a loss of all machines they come to hundreds, and what comes then
-/// would stand behind them. Bounded in number and age; the oldest go first.
+/// not wait for their next copy, and given again with each newer state. Bounded in number and age;
+/// the oldest go first.
 #pragma once
 
 #include <deque>
@@ -27,20 +26,21 @@
   /// Takes a packet for good, or tells that nothing can be decided about it yet.
   using Visitor = std::function<bool(const HeldPacket&)>;
 
-  explicit HeldPackets(const SteeringPolicy& policy) : policy_(policy) {}
+  explicit HeldPackets(const SteeringPolicy& policy);
 
-  /// A copy of an opening packet replaces the one that is held.
+  /// A copy of an opening packet replaces the one that is held: given again together, copies would
+  /// blame a target that was never asked.
   void hold(const CallerPacket& packet, ByteView bytes, Instant now);
-  /// Drops packets whose callers have given up, and shows others to `take` as far as `steering` has
-  /// room: first requests that can still be answered in time, newest first (adaptive LIFO, as in
-  /// Maurer, "Fail at Scale", 2015), then late ones, those first that are given up first.
+  /// Drops packets whose callers have given up, and shows the others to `take` in the order in
+  /// which they came.
   void release(const FlowSteering& steering, Instant now, const Visitor& take);
-  /// True while packets of the flow wait: later ones of it wait with them.
-  [[nodiscard]] bool holds(const SteeredFlow& flow) const;
   [[nodiscard]] std::size_t size() const { return packets_.size(); }
 
  private:
-  SteeringPolicy policy_;
+  static constexpr double kMicrosecondsPerMillisecond = 1000;
+
+  Duration longest_wait_;
+  /// In the order in which they came.
   std::deque<HeldPacket> packets_;
 };
 
--- a/src/core/steering/steering_policy.cc
+++ b/src/core/steering/steering_policy.cc
@@ -15,11 +15,7 @@
 
 constexpr std::array kFields = {
     PolicyField{"hold_ms", &SteeringPolicy::hold_ms, 0, 5000,
-                "milliseconds for which a packet waits for a state and for room; 0: none waits"},
-    PolicyField{"requests_at_once", &SteeringPolicy::requests_at_once, 1, 1e6,
-                "requests under way in a pool up to which held packets are admitted"},
-    PolicyField{"fresh_first", &SteeringPolicy::fresh_first, 0, 1,
-                "1: of held packets those that can still be answered in time go first"},
+                "milliseconds for which a packet waits for a state; 0: none waits"},
     PolicyField{"copies_at_same_target", &SteeringPolicy::copies_at_same_target, 0, 10,
                 "copies of an opening packet that meet the target of the first"},
     PolicyField{"suspect_after", &SteeringPolicy::suspect_after, 0, 100,
--- a/src/core/steering/steering_policy.h
+++ b/src/core/steering/steering_policy.h
@@ -11,8 +11,6 @@
 
 struct SteeringPolicy {
   double hold_ms = 1200;
-  double requests_at_once = 8;
-  double fresh_first = 1;
   double copies_at_same_target = 1;
   double suspect_after = 2;
   double refusals = 1;
--- a/src/core/steering/steering_view.cc
+++ b/src/core/steering/steering_view.cc
@@ -65,7 +65,6 @@
 void SteeringView::put_frontend(const Frontend& frontend) {
   FrontendView view;
   view.address = frontend.address;
-  view.latency_objective = std::chrono::milliseconds(frontend.latency_objective_ms);
   view.timeout = std::chrono::milliseconds(frontend.timeout_ms);
   for (const auto& part : frontend.pools) {
     const std::uint32_t pool = pool_index(part.pool);
@@ -142,11 +141,6 @@
   return pool != pools_.end() && frontend.reachable_pools.contains(pool->second);
 }
 
-bool SteeringView::is_in_pool(const RegisteredTarget& target, std::uint32_t pool) const {
-  const auto found = pools_.find(target.pool);
-  return found != pools_.end() && found->second == pool;
-}
-
 bool SteeringView::is_replaced(const RegisteredTarget& target) const {
   return target.phase == TargetPhase::kEnded && living_at_.contains(target.address);
 }
--- a/src/core/steering/steering_view.h
+++ b/src/core/steering/steering_view.h
@@ -24,8 +24,7 @@
 struct FrontendView {
   Endpoint address;
   std::vector<PoolShare> shares;
-  /// Within this time callers want their answers, and after this time they give up.
-  Duration latency_objective{0};
+  /// After this time callers give up.
   Duration timeout{0};
   /// Pools that flows of this frontend may be at: present and former ones.
   absl::flat_hash_set<std::uint32_t> reachable_pools;
@@ -49,7 +48,6 @@
   [[nodiscard]] bool may_reach(const FrontendView& frontend, const RegisteredTarget& target) const;
   /// True when the target has ended and another one listens at its address now.
   [[nodiscard]] bool is_replaced(const RegisteredTarget& target) const;
-  [[nodiscard]] bool is_in_pool(const RegisteredTarget& target, std::uint32_t pool) const;
   /// Targets of a pool that are not ending.
   [[nodiscard]] const std::vector<const RegisteredTarget*>& pool_targets(std::uint32_t pool) const {
     return pool_targets_[pool];
--- a/src/tasks/steering_task.cc
+++ b/src/tasks/steering_task.cc
@@ -12,8 +12,6 @@
 constexpr Duration kStartTickInterval = milliseconds(100);
 constexpr ControlClientTiming kControlTiming{milliseconds(500), milliseconds(800),
                                              kStartTickInterval};
-/// Pause between two looks at held packets while there are some.
-constexpr Duration kReleaseInterval = milliseconds(10);
 /// Routers need this long to turn away; after it a stop waits for silence only.
 constexpr Duration kTurnAwayTime = milliseconds(1500);
 constexpr Duration kSilenceBeforeStop = milliseconds(700);
@@ -76,7 +74,7 @@
     return;
   }
   last_packet_ = now;
-  if (held_.holds(packet->flow) || !decide(*packet, datagram, now)) {
+  if (!decide(*packet, datagram, now)) {
     held_.hold(*packet, datagram, now);
   }
 }
@@ -114,20 +112,6 @@
   socket_->flush();
 }
 
-void SteeringTask::keep_releasing() {
-  release_held(monotonic_now());
-  is_releasing_ = held_.size() > 0;
-  if (is_releasing_) {
-    loop_.after(kReleaseInterval, [this] { keep_releasing(); });
-  }
-}
-
-void SteeringTask::begin_releasing() {
-  if (!is_releasing_) {
-    keep_releasing();
-  }
-}
-
 void SteeringTask::log_decision(const CallerPacket& packet,
                                 const SteeringDecision& decision) const {
   if (decision.reason == SteeringReason::kToken) {
@@ -195,7 +179,7 @@
 
 void SteeringTask::on_fleet(const FleetState& fleet, Instant now) {
   steering_.adopt(fleet.steering, now);
-  on_revision(fleet);
+  on_revision(fleet, now);
 }
 
 void SteeringTask::on_deltas(const FleetState& fleet, const std::vector<FleetDelta>& deltas,
@@ -205,22 +189,22 @@
       steering_.apply(*delta.steering, now);
     }
   }
-  on_revision(fleet);
+  on_revision(fleet, now);
 }
 
-void SteeringTask::on_revision(const FleetState& fleet) {
+void SteeringTask::on_revision(const FleetState& fleet, Instant now) {
   log_event(LogEvent::kRevisionInForce, {{"revision", fleet.revision},
                                          {"operator_version", fleet.steering.settings.version},
                                          {"targets", fleet.steering.targets.size()},
                                          {"held_packets", held_.size()}});
-  begin_releasing();
+  release_held(now);
 }
 
 void SteeringTask::on_confirmed(Instant now) {
   steering_.confirm(now);
   log_event(LogEvent::kRevisionConfirmed,
             {{"revision", control_.fleet().revision}, {"held_packets", held_.size()}});
-  begin_releasing();
+  release_held(now);
 }
 
 }  // namespace gorsevalve
--- a/src/tasks/steering_task.h
+++ b/src/tasks/steering_task.h
@@ -82,10 +82,8 @@
   /// Forwards or resets; false when nothing can be decided yet.
   bool decide(const CallerPacket& packet, ByteView datagram, Instant now);
   void forward(ByteView datagram, const RegisteredTarget& target);
-  /// Gives held packets again as far as targets have room.
+  /// Gives held packets again, since more is known now.
   void release_held(Instant now);
-  void begin_releasing();
-  void keep_releasing();
   std::optional<Endpoint> on_frame(ByteView frame);
   void on_tick();
   /// Asks the replicas more often until the first state is confirmed.
@@ -96,7 +94,7 @@
   void on_fleet(const FleetState& fleet, Instant now) override;
   void on_deltas(const FleetState& fleet, const std::vector<FleetDelta>& deltas,
                  Instant now) override;
-  void on_revision(const FleetState& fleet);
+  void on_revision(const FleetState& fleet, Instant now);
   void on_confirmed(Instant now) override;
   bool has_urgent_observations() override { return steering_.has_trouble(); }
   std::vector<TargetObservation> take_observations() override {
@@ -120,7 +118,6 @@
   FrameNetwork network_;
   std::unique_ptr<UdpSocket> socket_;
   HeldPackets held_;
-  bool is_releasing_ = false;
   SteeringCounters counters_;
   Instant last_packet_;
   std::optional<Instant> stop_since_;
