--- a/src/core/steering/steering_policy.h
+++ b/src/core/steering/steering_policy.h
@@ -10,16 +10,30 @@
 namespace gorsevalve {
 
 struct SteeringPolicy {
+  /// Longest time for which a starting balancer holds a packet, in milliseconds: less than the time
+  /// after which callers give an opening up.
   double hold_ms = 1200;
+  /// Copies of an opening packet that meet the target of the first: a lost packet is likelier than
+  /// a lost target, and two targets that answer can split a flow.
   double copies_at_same_target = 1;
+  /// Unanswered openings in a row after which a target is avoided for a while.
   double suspect_after = 2;
+  /// 1: targets that refuse flows are avoided and reported.
   double refusals = 1;
+  /// 1: requests without an answer are reported.
   double stalls = 1;
+  /// Loads within one step count as equal, so that figures of all balancers can decide.
   double load_step = 1;
+  /// A request under way weighs as much as this many open flows.
   double busy_weight = 2;
+  /// How much less work a warming target takes than a warm one.
   double cold_penalty = 1.6;
+  /// A target is slow from this multiple of its pool's usual answer time on.
   double slow_factor = 1.8;
+  /// How strongly the pressure that all balancers saw decides between equal loads. All get the same
+  /// figures, so the least pressure must not decide alone: they would rush to one target.
   double pressure_exponent = 4;
+  /// How often a target in the own zone wins against one elsewhere: octets between zones are dear.
   double near_preference = 4;
 };
 
