--- /dev/null
+++ b/scripts/recovery_bound.py
@@ -0,0 +1,52 @@
+#!/usr/bin/env python3
+"""Credit that no balancer could earn around a loss of all machines, worked out for one deployment.
+
+Usage: scripts/recovery_bound.py --listens S --decides S [--answer S] CLASS...
+CLASS is rate:aim:deadline:worth:worth_late, times in seconds, for each kind of request.
+
+A caller sends its packet again after 0.2, 0.6 and 1.4 s. A packet is seen when a balancer listens (`--listens`, after the
+loss), and answered `--answer` after that or after the state is known (`--decides`). Targets have any capacity.
+"""
+import argparse
+
+# When a caller sends a packet, after its first, in seconds (docs/PLATFORM.md).
+COPIES_S = (0.0, 0.2, 0.6, 1.4)
+STEP_S = 0.001
+
+
+def credit(sent: float, arguments: argparse.Namespace, kind: list[float]) -> float:
+    """What a request earns at most that its caller first sent at `sent`, in seconds after the loss."""
+    _, aim, deadline, worth, worth_late = kind
+    best = 0.0
+    for copy in COPIES_S:
+        at = sent + copy
+        answered = at + arguments.answer
+        if answered > 0:
+            if at < arguments.listens:
+                continue
+            answered = max(arguments.decides, at) + arguments.answer
+        if answered <= sent + aim:
+            best = max(best, worth)
+        elif answered <= sent + deadline:
+            best = max(best, worth_late)
+    return best
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("--listens", type=float, required=True)
+    parser.add_argument("--decides", type=float, required=True)
+    parser.add_argument("--answer", type=float, default=0.06)
+    parser.add_argument("classes", nargs="+")
+    arguments = parser.parse_args()
+    lost = 0.0
+    for text in arguments.classes:
+        kind = [float(part) for part in text.split(":")]
+        steps = int((arguments.decides + 2 * arguments.answer) / STEP_S)
+        lost += sum((kind[3] - credit(step * STEP_S - arguments.answer, arguments, kind)) * STEP_S * kind[0]
+                    for step in range(steps))
+    print(f"credit lost at least: {lost:.0f}")
+
+
+if __name__ == "__main__":
+    main()
