--- a/tests/unit/test_control_node.cc
+++ b/tests/unit/test_control_node.cc
@@ -231,9 +231,7 @@
     CHECK(cluster.node(follower).hear(announce(1), cluster.now()) ==
           AnnouncementStatus::kNotLeader);
     REQUIRE(cluster.node(leader).hear(announce(1), cluster.now()) == AnnouncementStatus::kNews);
-    RegistrationCommand command;
-    command.announced.push_back(announce(1));
-    REQUIRE(cluster.node(leader).propose(command, cluster.now()));
+    REQUIRE(register_target(cluster.node(leader), announce(1).id, cluster.now()));
     cluster.run(milliseconds(200));
     // From now on the target is heard by a follower only, and stays ready for long.
     for (std::uint64_t sequence = 2; sequence < 20; ++sequence) {
@@ -253,9 +251,7 @@
     cluster.run(std::chrono::seconds(3));
     const std::uint32_t leader = cluster.leader();
     REQUIRE(leader != 0);
-    RegistrationCommand command;
-    command.announced.push_back(announce(1));
-    REQUIRE(cluster.node(leader).propose(command, cluster.now()));
+    REQUIRE(register_target(cluster.node(leader), announce(1).id, cluster.now()));
     cluster.run(milliseconds(200));
     const FlowToken token = cluster.node(leader).state().fleet().steering.targets[0].token;
     // One balancer at each replica.
@@ -289,9 +285,7 @@
     cluster.run(std::chrono::seconds(3));
     const std::uint32_t leader = cluster.leader();
     REQUIRE(leader != 0);
-    RegistrationCommand command;
-    command.announced.push_back(announce(1));
-    REQUIRE(cluster.node(leader).propose(command, cluster.now()));
+    REQUIRE(register_target(cluster.node(leader), announce(1).id, cluster.now()));
     cluster.run(milliseconds(100));
     NodeHeartbeat heartbeat;
     heartbeat.member.address = {100, 6000};
