Spare restarting replicas the storm of hundreds of balancers and targets

Counters of a replica's work (trial): each of the three seeds handled 200 to 617 heartbeats in a tenth of a second, since 295 balancers asked all of them each 100 ms; it built, encoded and compressed a whole state of 13 KB for each of some 300 requests (3.5 to 3.9 MB in 0.5 s, turns of 230 to 270 ms); and each target whose call was refused asked the next replica at once, 40 to 100 calls in a tenth of a second. Change: a replica that is not current remembers who asked, and tells them when it is; balancers ask it again after 450 ms only, and ask one replica at a time for its state. An update that many balancers need is made and encoded once. Calls of targets wait up to 0.8 s after a start for the first leader.

--- a/src/codec/envelope.cc
+++ b/src/codec/envelope.cc
@@ -13,7 +13,7 @@
 namespace {
 
 constexpr std::array<std::uint8_t, 3> kMagic = {'G', 'V', 'M'};
-constexpr std::uint8_t kVersion = 4;
+constexpr std::uint8_t kVersion = 5;
 /// Set in the type of a message whose body is compressed.
 constexpr std::uint8_t kCompressed = 0x80;
 constexpr std::size_t kHeaderSize = 36;
@@ -67,6 +67,15 @@
   return ReplicaMessage{get(body, 0, 8), get(body, 8, 8), std::move(*decoded)};
 }
 
+/// Compresses large bodies.
+EncodedMessage encoded(MessageKind kind, std::size_t type, Bytes body) {
+  const auto plain_type = static_cast<std::uint8_t>(type);
+  if (body.size() < kMinCompressedBody) {
+    return {kind, plain_type, std::move(body)};
+  }
+  return {kind, static_cast<std::uint8_t>(plain_type | kCompressed), compress(body)};
+}
+
 }  // namespace
 
 tl::expected<ClusterKeys, std::string> read_key_file(const std::string& path) {
@@ -114,36 +123,33 @@
          std::equal(kMagic.begin(), kMagic.end(), datagram.begin());
 }
 
-Bytes Envelope::seal_body(MessageKind kind, std::uint8_t type, ByteView body) {
-  if (body.size() >= kMinCompressedBody && (type & kCompressed) == 0) {
-    return seal_body(kind, type | kCompressed, compress(body));
-  }
+EncodedMessage encode_message(const NodeMessage& message) {
+  return encoded(MessageKind::kNode, message.index(), encode_alternative(message));
+}
+
+Bytes Envelope::seal(const EncodedMessage& message) {
   Bytes out;
-  out.reserve(kHeaderSize + body.size() + kCodeSize);
+  out.reserve(kHeaderSize + message.body.size() + kCodeSize);
   out.assign(kMagic.begin(), kMagic.end());
   out.push_back(kVersion);
-  out.push_back(static_cast<std::uint8_t>(kind));
-  out.push_back(type);
+  out.push_back(static_cast<std::uint8_t>(message.kind));
+  out.push_back(message.type);
   put(out, self_.address, 4);
   put(out, self_.port, 2);
   put(out, incarnation_, 8);
   put(out, ++sequence_, 8);
   put(out, cluster_, 8);
-  out.insert(out.end(), body.begin(), body.end());
+  out.insert(out.end(), message.body.begin(), message.body.end());
   const MessageCode code = coders_.front().code(out);
   out.insert(out.end(), code.begin(), code.end());
   return out;
 }
 
 Bytes Envelope::seal(const PeerMessage& message) {
-  return seal_body(MessageKind::kPeer, static_cast<std::uint8_t>(message.index()),
-                   encode_alternative(message));
+  return seal(encoded(MessageKind::kPeer, message.index(), encode_alternative(message)));
 }
 
-Bytes Envelope::seal(const NodeMessage& message) {
-  return seal_body(MessageKind::kNode, static_cast<std::uint8_t>(message.index()),
-                   encode_alternative(message));
-}
+Bytes Envelope::seal(const NodeMessage& message) { return seal(encode_message(message)); }
 
 Bytes Envelope::seal(const ReplicaMessage& message) {
   Bytes body;
@@ -151,7 +157,7 @@
   put(body, message.term, 8);
   const Bytes rest = encode_alternative(message.body);
   body.insert(body.end(), rest.begin(), rest.end());
-  return seal_body(MessageKind::kReplica, static_cast<std::uint8_t>(message.body.index()), body);
+  return seal(encoded(MessageKind::kReplica, message.body.index(), std::move(body)));
 }
 
 bool Envelope::has_valid_code(ByteView sealed) {
--- a/src/codec/envelope.h
+++ b/src/codec/envelope.h
@@ -49,6 +49,16 @@
   std::variant<PeerMessage, ReplicaMessage, NodeMessage> message;
 };
 
+/// A message as it goes into envelopes, compressed where that pays: one that goes to many peers is
+/// encoded once.
+struct EncodedMessage {
+  MessageKind kind = MessageKind::kPeer;
+  std::uint8_t type = 0;
+  Bytes body;
+};
+
+EncodedMessage encode_message(const NodeMessage& message);
+
 /// Shared keys, the first one for sending; all are accepted, so that keys can be rotated.
 struct ClusterKeys {
   std::vector<std::string> keys;
@@ -68,6 +78,7 @@
   [[nodiscard]] Bytes seal(const PeerMessage& message);
   [[nodiscard]] Bytes seal(const ReplicaMessage& message);
   [[nodiscard]] Bytes seal(const NodeMessage& message);
+  [[nodiscard]] Bytes seal(const EncodedMessage& message);
 
   [[nodiscard]] tl::expected<OpenedMessage, EnvelopeError> open(ByteView sealed);
 
@@ -88,7 +99,6 @@
     ReplayWindow window;
   };
 
-  Bytes seal_body(MessageKind kind, std::uint8_t type, ByteView body);
   [[nodiscard]] bool has_valid_code(ByteView sealed);
 
   std::uint64_t cluster_;
--- a/src/core/balancer/control_client.cc
+++ b/src/core/balancer/control_client.cc
@@ -19,6 +19,13 @@
 constexpr Duration kRepairInterval = std::chrono::milliseconds(300);
 /// A replica whose updates do not come for this long is left.
 constexpr Duration kLagTimeout = std::chrono::milliseconds(1500);
+/// A replica that answered that it is not current is not asked again for this long: it tells when
+/// it is. After a loss of all, hundreds of balancers would else keep the replicas from their
+/// election. Below the usual pause between heartbeats, so that it matters to starting ones only.
+constexpr Duration kTellingTime = std::chrono::milliseconds(450);
+/// While several replicas that are not current hold more than this balancer, one is asked for it at
+/// a time, for this long: a whole state takes a thin link 0.2 s.
+constexpr Duration kUpdateTime = std::chrono::milliseconds(300);
 
 }  // namespace
 
@@ -83,16 +90,18 @@
   choice_.set_zone(from, reply.zone);
   const bool was_searching = choice_.is_searching();
   if (!reply.is_current) {
+    not_current_at_[from] = now;
     // This replica may be cut off from the others: all are asked, not sooner than usual.
     if (!was_searching && from == choice_.chosen() && is_observer()) {
       choice_.begin_search();
     }
     // What it holds is better than nothing, or than what is older.
     if (was_searching && reply.revision > fleet_.revision) {
-      send_heartbeat(from, true, now);
+      ask_for_update(from, now);
     }
     return;
   }
+  not_current_at_.clear();
   if (was_searching || from == choice_.home()) {
     choice_.choose(from);
     last_heard_ = now;
@@ -106,6 +115,19 @@
   }
 }
 
+bool ControlClient::will_tell(const Endpoint& replica, Instant now) const {
+  const auto found = not_current_at_.find(replica);
+  return found != not_current_at_.end() && now - found->second < kTellingTime;
+}
+
+void ControlClient::ask_for_update(const Endpoint& replica, Instant now) {
+  if (update_asked_at_ && now - *update_asked_at_ < kUpdateTime) {
+    return;
+  }
+  update_asked_at_ = now;
+  send_heartbeat(replica, true, now);
+}
+
 bool ControlClient::is_member(const FleetState& fleet) const {
   return std::any_of(fleet.members.begin(), fleet.members.end(), [&](const Member& member) {
     return member.address == self_.address && member.incarnation == self_.incarnation;
@@ -237,6 +259,7 @@
 
 void ControlClient::on_adopted(Instant now) {
   has_gap_ = false;
+  update_asked_at_.reset();
   check_confirmed(now);
   const bool is_new_member = is_member(fleet_) && lease_until_ <= now;
   if (is_new_member || (is_observer() && !has_been_current_)) {
@@ -277,8 +300,12 @@
 void ControlClient::send_heartbeats(Instant now) {
   if (choice_.is_searching()) {
     // One of them tells of what it commits from now on; all of them would send the same state.
+    // While nothing is in force here, the first to answer is asked for all it has.
+    const bool has_state = fleet_.revision > 0;
     for (const auto& replica : choice_.candidates()) {
-      send_heartbeat(replica, replica == choice_.home(), now);
+      if (!will_tell(replica, now)) {
+        send_heartbeat(replica, has_state && replica == choice_.home(), now);
+      }
     }
     return;
   }
--- a/src/core/balancer/control_client.h
+++ b/src/core/balancer/control_client.h
@@ -119,6 +119,10 @@
   /// Reports to the chosen replica, or asks all of them while there is none.
   void send_heartbeats(Instant now);
   void send_heartbeat(const Endpoint& replica, bool wants_update, Instant now);
+  /// True when a replica that was not current has promised to tell when it is.
+  [[nodiscard]] bool will_tell(const Endpoint& replica, Instant now) const;
+  /// Asks a replica for what it holds, unless another one has just been asked.
+  void ask_for_update(const Endpoint& replica, Instant now);
   /// Looks for a replica that would be better than the chosen one.
   void probe(Instant now);
   [[nodiscard]] bool is_observer() const { return self_.state == MemberState::kObserver; }
@@ -139,6 +143,10 @@
   /// When the chosen replica answered last.
   Instant last_heard_;
   Instant next_probe_;
+  /// When each replica answered that it is not current; it tells by itself when it is.
+  std::map<Endpoint, Instant> not_current_at_;
+  /// When a replica was asked for its state while none was known to be current.
+  std::optional<Instant> update_asked_at_;
   /// An update was lost and what was missing has not come yet.
   bool has_gap_ = false;
   Instant next_repair_;
--- a/src/core/control/control_node.cc
+++ b/src/core/control/control_node.cc
@@ -11,6 +11,11 @@
 
 constexpr std::size_t kReportsRemembered = 16;
 constexpr Duration kNodeMemory = std::chrono::seconds(60);
+/// Updates that are kept for other balancers, by the revisions that these have: more than differ
+/// between balancers that are all in touch.
+constexpr std::size_t kSharedUpdates = 16;
+/// A balancer that waits to hear that this replica is current asks again within this time.
+constexpr Duration kWaitingMemory = std::chrono::seconds(2);
 /// Pause between two editions of the figures about targets.
 constexpr Duration kFiguresInterval = std::chrono::milliseconds(2000);
 /// The same, and between two reports, while a target has just refused a flow.
@@ -34,6 +39,7 @@
 void ControlNode::on_replica_message(const ReplicaMessage& message, Instant now) {
   replica_->on_message(message, now);
   push_updates(now);
+  tell_waiting(now);
 }
 
 void ControlNode::on_node_message(const Endpoint& from, const NodeMessage& message, Instant now) {
@@ -50,8 +56,7 @@
   return std::max(*confirmed_report_ + control_timing::kBalancerLease - now, Duration::zero());
 }
 
-void ControlNode::handle(const Endpoint& from, const NodeHeartbeat& heartbeat, Instant now) {
-  nodes_.on_heartbeat(heartbeat, now);
+HeartbeatReply ControlNode::reply_to(const NodeHeartbeat& heartbeat, Instant now) const {
   // A lease is for members only: whoever is not in the members, or was removed, has none.
   const auto& members = state_.fleet().members;
   const bool is_member = std::any_of(members.begin(), members.end(), [&](const Member& member) {
@@ -71,8 +76,32 @@
     reply.replicas.push_back(replica.address);
   }
   reply.figures = figures_after(heartbeat.figures_edition);
+  return reply;
+}
+
+void ControlNode::tell_waiting(Instant now) {
+  if (waiting_nodes_.empty() || !replica_->is_current(now)) {
+    return;
+  }
+  for (const auto& [address, waiting] : std::exchange(waiting_nodes_, {})) {
+    if (now - waiting.at < kWaitingMemory) {
+      output_.send_node(address, reply_to(waiting.heartbeat, now));
+    }
+  }
+}
+
+void ControlNode::handle(const Endpoint& from, const NodeHeartbeat& heartbeat, Instant now) {
+  nodes_.on_heartbeat(heartbeat, now);
+  const HeartbeatReply reply = reply_to(heartbeat, now);
   board_.add(heartbeat.observations, now);
   output_.send_node(from, reply);
+  if (reply.is_current) {
+    waiting_nodes_.erase(from);
+  } else {
+    WaitingNode& waiting = waiting_nodes_[from];
+    waiting = {heartbeat, now};
+    waiting.heartbeat.observations.clear();
+  }
   if (!heartbeat.wants_update) {
     return;
   }
@@ -96,25 +125,44 @@
   if (revision > fleet.revision && !faults_.send_older_revisions) {
     return;
   }
+  // A node whose state differs at the same revision gets all of it.
+  const bool whole = revision == 0 || revision > fleet.revision ||
+                     (revision == fleet.revision && digest != state_.digest());
+  output_.send_shared(to, update_from(revision, whole));
+}
+
+std::optional<FleetUpdate> ControlNode::changes_after(Revision revision) const {
   FleetUpdate update;
   update.digest = state_.digest();
-  // A node whose state differs at the same revision, or is too old for the deltas, gets all of it.
-  bool whole = revision == 0 || revision > fleet.revision ||
-               (revision == fleet.revision && digest != state_.digest());
-  for (Revision at = revision; !whole && at != fleet.revision;) {
+  for (Revision at = revision; at != state_.fleet().revision;) {
     const FleetDelta* delta = state_.delta_after(at);
-    whole = delta == nullptr;
-    if (delta != nullptr) {
-      update.deltas.push_back(*delta);
-      at = delta->revision;
+    if (delta == nullptr) {
+      return std::nullopt;
     }
+    update.deltas.push_back(*delta);
+    at = delta->revision;
   }
-  if (whole) {
-    update.deltas.clear();
+  return update;
+}
+
+SharedNodeMessage ControlNode::update_from(Revision revision, bool whole) {
+  const FleetState& fleet = state_.fleet();
+  if (shared_revision_ != fleet.revision || shared_updates_.size() > kSharedUpdates) {
+    shared_updates_.clear();
+    shared_revision_ = fleet.revision;
+  }
+  std::optional<FleetUpdate> changes = whole ? std::nullopt : changes_after(revision);
+  SharedNodeMessage& shared = shared_updates_[changes ? revision : 0];
+  if (shared == nullptr && changes) {
+    shared = std::make_shared<const NodeMessage>(std::move(*changes));
+  } else if (shared == nullptr) {
+    FleetUpdate update;
+    update.digest = state_.digest();
     update.is_whole = true;
     update.whole = fleet;
+    shared = std::make_shared<const NodeMessage>(std::move(update));
   }
-  output_.send_node(to, update);
+  return shared;
 }
 
 void ControlNode::push_updates(Instant now) {
@@ -161,20 +209,22 @@
 }
 
 void ControlNode::take_figures(TargetFigures figures) {
-  const bool is_urgent = figures.troubled() != figures_.troubled();
+  const bool is_urgent =
+      figures.troubled() != figures_.troubled() || figures.unreachable() != figures_.unreachable();
   figures_ = std::move(figures);
   if (!is_urgent) {
     return;
   }
+  const auto shared = std::make_shared<const NodeMessage>(figures_);
   if (replica_->is_leader()) {
     for (const auto& replica : replica_->replicas().replicas) {
       if (replica.id != replica_->id()) {
-        output_.send_node(replica.address, figures_);
+        output_.send_shared(replica.address, shared);
       }
     }
   }
   for (const auto& [address, progress] : updates_) {
-    output_.send_node(address, figures_);
+    output_.send_shared(address, shared);
   }
 }
 
@@ -332,6 +382,9 @@
   nodes_.drop_older(now, kNodeMemory);
   std::erase_if(updates_, [this](const auto& one) { return nodes_.find(one.first) == nullptr; });
   push_updates(now);
+  tell_waiting(now);
+  std::erase_if(waiting_nodes_,
+                [&](const auto& one) { return now - one.second.at >= kWaitingMemory; });
 }
 
 SubmissionResult ControlNode::submit(const SettingsCommand& command, Instant now) {
--- a/src/core/control/control_node.h
+++ b/src/core/control/control_node.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <string>
 
 #include "core/control/control_state.h"
 #include "core/control/figure_board.h"
@@ -18,11 +19,18 @@
 
 namespace gorsevalve {
 
+/// A message that goes to many balancers.
+using SharedNodeMessage = std::shared_ptr<const NodeMessage>;
+
 /// What a control process sends about the fleet.
 class ControlOutput : public ReplicaOutput {
  public:
   /// To a balancer, or to another replica, by its address.
   virtual void send_node(const Endpoint& to, const NodeMessage& message) = 0;
+  /// The same for a message that goes to many, which need be encoded once only.
+  virtual void send_shared(const Endpoint& to, const SharedNodeMessage& message) {
+    send_node(to, *message);
+  }
 };
 
 /// Deliberate faults, for the test that shows that the checkers can fail. All off in programs.
@@ -132,7 +140,14 @@
   void handle(const Endpoint& from, const ReplicaReport& report, Instant now);
   void handle(const Endpoint& from, const ReportReply& reply, Instant now);
   std::optional<Proposal> propose_entry(EntryType type, Bytes payload, Instant now);
+  [[nodiscard]] HeartbeatReply reply_to(const NodeHeartbeat& heartbeat, Instant now) const;
+  /// Tells balancers that were answered by a replica that was not current that it is now.
+  void tell_waiting(Instant now);
   void send_update(const Endpoint& to, Revision revision, std::uint64_t digest);
+  /// The changes after a revision; nothing when they are not known any more.
+  [[nodiscard]] std::optional<FleetUpdate> changes_after(Revision revision) const;
+  /// The update that takes a balancer from a revision, or from nothing, to the present one.
+  SharedNodeMessage update_from(Revision revision, bool whole);
   void push_updates(Instant now);
   void report_to_leader(Instant now);
   void lead(Instant now);
@@ -161,9 +176,18 @@
   /// Targets that this follower heard since its last report.
   std::map<TargetId, Instant> heard_targets_;
   bool was_leader_ = false;
+  /// A balancer that was told that this replica is not current.
+  struct WaitingNode {
+    NodeHeartbeat heartbeat;
+    Instant at;
+  };
+  std::map<Endpoint, WaitingNode> waiting_nodes_;
   /// Updates of the balancers that this replica serves.
   std::map<Endpoint, UpdateProgress> updates_;
   Revision pushed_revision_ = 0;
+  /// Updates to the present revision by the revision that they follow; 0 for the whole state.
+  std::map<Revision, SharedNodeMessage> shared_updates_;
+  Revision shared_revision_ = 0;
   Instant reported_at_;
   std::uint64_t report_sequence_ = 0;
   std::map<std::uint64_t, Instant> reports_sent_;
--- a/src/tasks/control_task.cc
+++ b/src/tasks/control_task.cc
@@ -12,6 +12,16 @@
 
 /// A pause between two ticks that is worth a line in the log.
 constexpr Duration kStallLogged = std::chrono::milliseconds(120);
+/// For this long after a start, calls of targets wait for a leader. After a loss of all, targets
+/// that were refused would at once ask the next replica, which cannot answer either: their calls,
+/// several for each, kept the replicas from their election. Less than the second for which targets
+/// wait.
+constexpr Duration kFirstLeaderTime = std::chrono::milliseconds(800);
+/// Encoded messages that are kept for further peers: an update from nothing, some from the latest
+/// revisions, and figures.
+constexpr std::size_t kEncodedMessages = 8;
+/// Calls that wait at most; further ones are refused.
+constexpr std::size_t kMaxHeldCalls = 4096;
 
 std::string describe(const StorageError& error) { return error.message; }
 
@@ -138,6 +148,7 @@
   node_->on_tick(now);
   answer_waiting(now);
   answer_proposals(now);
+  decide_held_calls(now);
   if (node_->replica().has_failed()) {
     log_event(LogEvent::kStorageFailedStopping);
     loop_.stop();
@@ -240,8 +251,13 @@
 }
 
 void ControlTask::announce(RegisteredTarget announced, SteeringCallback callback) {
+  const Instant now = monotonic_now();
   const AnnouncementStatus status =
-      stopping_ ? AnnouncementStatus::kNotLeader : node_->hear(announced, monotonic_now());
+      stopping_ ? AnnouncementStatus::kNotLeader : node_->hear(announced, now);
+  if (status == AnnouncementStatus::kNotLeader && may_hold_call(now)) {
+    held_calls_.push_back([this, announced, callback] { announce(announced, callback); });
+    return;
+  }
   if (status == AnnouncementStatus::kNotLeader) {
     callback(not_leader());
   } else if (status == AnnouncementStatus::kHeld) {
@@ -253,8 +269,13 @@
 }
 
 void ControlTask::end_target(TargetId id, SteeringCallback callback) {
+  const Instant now = monotonic_now();
   const AnnouncementStatus status =
-      stopping_ ? AnnouncementStatus::kNotLeader : node_->hear_end(id, monotonic_now());
+      stopping_ ? AnnouncementStatus::kNotLeader : node_->hear_end(id, now);
+  if (status == AnnouncementStatus::kNotLeader && may_hold_call(now)) {
+    held_calls_.push_back([this, id, callback] { end_target(id, callback); });
+    return;
+  }
   if (status == AnnouncementStatus::kNotLeader) {
     callback(not_leader());
   } else if (status == AnnouncementStatus::kHeld) {
@@ -265,6 +286,24 @@
   }
 }
 
+bool ControlTask::awaits_first_leader(Instant now) const {
+  const bool has_leader = node_->replica().is_leader() || node_->other_leader(now).has_value();
+  return !stopping_ && !has_leader && now - started_at_ < kFirstLeaderTime;
+}
+
+bool ControlTask::may_hold_call(Instant now) const {
+  return awaits_first_leader(now) && held_calls_.size() < kMaxHeldCalls;
+}
+
+void ControlTask::decide_held_calls(Instant now) {
+  if (held_calls_.empty() || awaits_first_leader(now)) {
+    return;
+  }
+  for (const auto& decide : std::exchange(held_calls_, {})) {
+    decide();
+  }
+}
+
 void ControlTask::queue_registration(SteeringCallback callback) {
   registration_callbacks_.push_back(std::move(callback));
   if (registration_callbacks_.size() == 1) {
@@ -349,13 +388,33 @@
   network_.send(to, envelope_.seal(message), true);
 }
 
-void ControlTask::send_node(const Endpoint& to, const NodeMessage& message) {
+bool ControlTask::is_replica(const Endpoint& address) const {
+  const auto& seeds = config_.replicas;
   const auto& replicas = node_->replica().replicas().replicas;
-  const bool is_replica =
-      std::find(config_.replicas.begin(), config_.replicas.end(), to) != config_.replicas.end() ||
-      std::any_of(replicas.begin(), replicas.end(),
-                  [&](const ReplicaInfo& replica) { return replica.address == to; });
-  network_.send(to, envelope_.seal(message), is_replica);
+  return std::find(seeds.begin(), seeds.end(), address) != seeds.end() ||
+         std::any_of(replicas.begin(), replicas.end(),
+                     [&](const ReplicaInfo& replica) { return replica.address == address; });
+}
+
+void ControlTask::send_node(const Endpoint& to, const NodeMessage& message) {
+  network_.send(to, envelope_.seal(message), is_replica(to));
+}
+
+void ControlTask::send_shared(const Endpoint& to, const SharedNodeMessage& message) {
+  network_.send(to, envelope_.seal(encoded(message)), is_replica(to));
+}
+
+const EncodedMessage& ControlTask::encoded(const SharedNodeMessage& message) {
+  const auto found = std::find_if(encoded_.begin(), encoded_.end(),
+                                  [&](const auto& one) { return one.first == message; });
+  if (found != encoded_.end()) {
+    return found->second;
+  }
+  if (encoded_.size() >= kEncodedMessages) {
+    encoded_.pop_front();
+  }
+  encoded_.emplace_back(message, encode_message(*message));
+  return encoded_.back().second;
 }
 
 bool ControlTask::check(const StorageResult<void>& result) {
--- a/src/tasks/control_task.h
+++ b/src/tasks/control_task.h
@@ -2,10 +2,12 @@
 /// the control core.
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
 #include <tl/expected.hpp>
+#include <utility>
 #include <vector>
 
 #include "codec/envelope.h"
@@ -118,10 +120,18 @@
                 std::optional<OperatorVersion> version);
   static void log_decision(const WaitingProposal& waiting, bool committed, Instant now);
   void queue_registration(SteeringCallback callback);
+  /// True shortly after the start while no replica leads: then no other one can answer either.
+  [[nodiscard]] bool awaits_first_leader(Instant now) const;
+  [[nodiscard]] bool may_hold_call(Instant now) const;
+  /// Decides about the calls of targets that came before there was a leader.
+  void decide_held_calls(Instant now);
   void propose_registrations();
 
   void send(const Endpoint& to, const ReplicaMessage& message) override;
   void send_node(const Endpoint& to, const NodeMessage& message) override;
+  void send_shared(const Endpoint& to, const SharedNodeMessage& message) override;
+  [[nodiscard]] bool is_replica(const Endpoint& address) const;
+  const EncodedMessage& encoded(const SharedNodeMessage& message);
   [[nodiscard]] bool append(const LogFrame& frame) override;
   [[nodiscard]] bool replace_with_snapshot(const Snapshot& snapshot,
                                            const LogFrame& frame) override;
@@ -134,11 +144,16 @@
   Envelope envelope_;
   FrameNetwork network_;
   std::unique_ptr<ControlNode> node_;
+  /// Messages that went to several peers, the latest last, with their encoded form.
+  std::deque<std::pair<SharedNodeMessage, EncodedMessage>> encoded_;
   std::vector<Waiting> waiting_;
   std::vector<WaitingProposal> proposals_;
   /// Registrations of this turn of the loop: they go into one entry.
   RegistrationCommand registrations_;
   std::vector<SteeringCallback> registration_callbacks_;
+  /// Calls of targets that wait for the first leader since the start; each decides itself.
+  std::vector<std::function<void()>> held_calls_;
+  Instant started_at_ = monotonic_now();
   bool storage_damaged_ = false;
   bool storage_refuses_ = false;
   bool stopping_ = false;
--- a/src/tasks/log_events.h
+++ b/src/tasks/log_events.h
@@ -42,6 +42,9 @@
   kLeaderSilent,
   kReplicaSet,
   kTargetsTroubled,
+  kTargetUnreachable,
+  kTargetReachable,
+  kAcceptingPaused,
   kLoopStalled,
   kClusterFounded,
   kClusterNotFounded,
@@ -121,6 +124,14 @@
          "Balancers saw these targets, and no others, refuse flows or leave packets unanswered; "
          "they "
          "get new flows only where there is nothing better."},
+        {LogEvent::kTargetUnreachable, "target_unreachable", LogLevel::kWarning, LogClass::kState,
+         "Probes of the target came to nothing while another target answered: its open flows were "
+         "reset."},
+        {LogEvent::kTargetReachable, "target_reachable", LogLevel::kInfo, LogClass::kState,
+         "A target that was unreachable from here answers again."},
+        {LogEvent::kAcceptingPaused, "accepting_paused", LogLevel::kWarning, LogClass::kState,
+         "A listener holds as many connections as it may, or there is no descriptor left; others "
+         "wait until one closes."},
         {LogEvent::kLoopStalled, "loop_stalled", LogLevel::kWarning, LogClass::kState,
          "Nothing ran for this long: a slow disk, a frozen machine, or too much work."},
         {LogEvent::kClusterFounded, "cluster_founded", LogLevel::kInfo, LogClass::kState,
--- a/tests/unit/test_control_node.cc
+++ b/tests/unit/test_control_node.cc
@@ -1,5 +1,7 @@
 #include <doctest/doctest.h>
 
+#include <set>
+
 #include "core/balancer/control_client.h"
 #include "core/control/control_node.h"
 
@@ -25,6 +27,7 @@
     Cluster* cluster = nullptr;
     std::size_t self = 0;
     std::vector<std::pair<Endpoint, NodeMessage>> to_nodes;
+    std::vector<SharedNodeMessage> shared;
     void send(const Endpoint& to, const ReplicaMessage& message) override {
       cluster->queue_.push_back({to.address, message, {}, self});
     }
@@ -32,6 +35,10 @@
       to_nodes.emplace_back(to, message);
       cluster->queue_.push_back({to.address, {}, message, self});
     }
+    void send_shared(const Endpoint& to, const SharedNodeMessage& message) override {
+      shared.push_back(message);
+      send_node(to, *message);
+    }
   };
 
   Cluster() {
@@ -146,6 +153,10 @@
                         *this};
 };
 
+std::size_t distinct(const std::vector<SharedNodeMessage>& messages) {
+  return std::set<SharedNodeMessage>(messages.begin(), messages.end()).size();
+}
+
 RegisteredTarget announce(std::uint64_t sequence) {
   RegisteredTarget target;
   target.id = 5;
@@ -280,6 +291,53 @@
     }
   }
 
+  TEST_CASE("a replica tells those who asked too early when it is current") {
+    Cluster cluster;
+    NodeHeartbeat heartbeat;
+    heartbeat.sequence = 7;
+    heartbeat.member.address = {100, 6000};
+    heartbeat.member.state = MemberState::kObserver;
+    heartbeat.wants_update = false;
+    for (std::uint32_t i = 1; i <= 3; ++i) {
+      cluster.node(i).on_node_message({100, 6000}, heartbeat, cluster.now());
+    }
+    cluster.run(std::chrono::seconds(2));
+    for (std::uint32_t i = 1; i <= 3; ++i) {
+      std::vector<bool> told;
+      for (const auto& [to, message] : cluster.output(i).to_nodes) {
+        if (const auto* reply = std::get_if<HeartbeatReply>(&message); reply && to.address == 100) {
+          CHECK(reply->sequence == 7);
+          told.push_back(reply->is_current);
+        }
+      }
+      CHECK(told == std::vector<bool>{false, true});
+    }
+  }
+
+  TEST_CASE("an update that many balancers need is made once") {
+    Cluster cluster;
+    cluster.run(std::chrono::seconds(3));
+    const std::uint32_t leader = cluster.leader();
+    REQUIRE(leader != 0);
+    REQUIRE(register_target(cluster.node(leader), 5, cluster.now()));
+    cluster.run(milliseconds(200));
+    cluster.output(leader).shared.clear();
+    NodeHeartbeat heartbeat;
+    heartbeat.member.state = MemberState::kObserver;
+    for (std::uint32_t i = 0; i < 50; ++i) {
+      heartbeat.member.address = {100 + i, 6000};
+      cluster.node(leader).on_node_message(heartbeat.member.address, heartbeat, cluster.now());
+    }
+    CHECK(cluster.output(leader).shared.size() == 50);
+    CHECK(distinct(cluster.output(leader).shared) == 1);
+    // A change goes to all of them as one message, too.
+    cluster.output(leader).shared.clear();
+    REQUIRE(register_target(cluster.node(leader), 6, cluster.now()));
+    cluster.run(milliseconds(200));
+    CHECK(cluster.output(leader).shared.size() == 50);
+    CHECK(distinct(cluster.output(leader).shared) == 1);
+  }
+
   TEST_CASE("a whole state is not sent again while it is under way, and is when it was lost") {
     Cluster cluster;
     cluster.run(std::chrono::seconds(3));
--- a/tests/unit/test_envelope.cc
+++ b/tests/unit/test_envelope.cc
@@ -31,6 +31,23 @@
     CHECK(std::get<TakeoverRequest>(peer).chunk == 7);
   }
 
+  TEST_CASE("a message that was encoded once goes into many envelopes") {
+    Envelope sender = make_envelope("c", {kOldKey});
+    Envelope receiver = make_envelope("c", {kOldKey});
+    FleetUpdate update;
+    update.digest = 77;
+    update.deltas.resize(500);
+    const EncodedMessage encoded = encode_message(NodeMessage(update));
+    for (int copy = 0; copy < 3; ++copy) {
+      const auto opened = receiver.open(sender.seal(encoded));
+      REQUIRE(opened);
+      CHECK(opened->kind == MessageKind::kNode);
+      const auto& arrived = std::get<FleetUpdate>(std::get<NodeMessage>(opened->message));
+      CHECK(arrived.digest == 77);
+      CHECK(arrived.deltas.size() == 500);
+    }
+  }
+
   TEST_CASE("forged, foreign, replayed and malformed messages are told apart") {
     Envelope sender = make_envelope("c", {kOldKey});
     Envelope receiver = make_envelope("c", {kOldKey});
