Bound accepted connections, and wait when no descriptor is left

Cause: a control replica under a limit of 64 descriptors and 120 idle connections used 0.5 to 0.96 of a core: accept failed, and the listening socket stayed readable. Nothing bounded connections. Both listeners had the same code. Change: tasks/listener holds it once. It accepts as many connections as its share of the process's descriptors allows (0.55 for callers, 0.35 for peers), pauses at the bound until one closes, and for 100 ms when there is no descriptor; it says so once. Before and after: test_listener; turns of the loop in 0.5 s without descriptors below 40 (without the pause it turns in place). Not done: closing the longest idle connection first (h2o closes idle ones after 10 s).

--- a/src/tasks/frame_network.cc
+++ b/src/tasks/frame_network.cc
@@ -3,10 +3,8 @@
 #include <arpa/inet.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
 #include <algorithm>
-#include <cerrno>
 #include <cstring>
 #include <iterator>
 #include <utility>
@@ -21,6 +19,9 @@
 constexpr std::size_t kLengthSize = 4;
 /// Octets that may wait on one connection.
 constexpr std::size_t kMaxWaiting = 2 * kMaxEnvelopeSize;
+/// Share of the process's descriptors that peers' connections may take: beside those of callers, it
+/// leaves a tenth for connections of our own and for files.
+constexpr double kDescriptorShare = 0.35;
 /// A connection over which frames went for this long without anything coming back is given up: a
 /// peer behind a cut, or without power, says nothing.
 constexpr Duration kSilentAfter = std::chrono::milliseconds(1500);
@@ -81,41 +82,25 @@
   while (!connections_.empty()) {
     close(*connections_.front());
   }
-  if (listener_ != nullptr) {
-    h2o_socket_close(listener_);
-  }
 }
 
 tl::expected<void, std::string> FrameNetwork::listen(const Endpoint& address) {
-  const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  const int on = 1;
-  ::setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-  const sockaddr_in raw = to_sockaddr(address);
-  const bool bound =
-      ::bind(descriptor, reinterpret_cast<const sockaddr*>(&raw), sizeof(raw)) == 0 &&
-      ::listen(descriptor, SOMAXCONN) == 0;
-  if (!bound) {
-    const std::string message = "listen " + to_string(address) + ": " + std::strerror(errno);
-    ::close(descriptor);
-    return tl::unexpected(message);
+  auto listener = Listener::open(loop_, address, connections_for_share(kDescriptorShare),
+                                 [this](h2o_socket_t* socket) { on_accepted(socket); });
+  if (!listener) {
+    return tl::unexpected(listener.error());
   }
-  listener_ = h2o_evloop_socket_create(loop_.raw(), descriptor, H2O_SOCKET_FLAG_DONT_READ);
-  listener_->data = this;
-  h2o_socket_read_start(listener_, [](h2o_socket_t* socket, const char* /*error*/) {
-    static_cast<FrameNetwork*>(socket->data)->on_accept();
-  });
+  listener_ = std::move(*listener);
   return {};
 }
 
-void FrameNetwork::on_accept() {
-  while (h2o_socket_t* socket = h2o_evloop_socket_accept(listener_)) {
-    Connection* connection = adopt(socket);
-    connection->connected = true;
-    h2o_socket_read_start(socket, [](h2o_socket_t* raw, const char* error) {
-      auto* found = static_cast<Connection*>(raw->data);
-      found->network->on_read(*found, error);
-    });
-  }
+void FrameNetwork::on_accepted(h2o_socket_t* socket) {
+  Connection* connection = adopt(socket);
+  connection->connected = true;
+  h2o_socket_read_start(socket, [](h2o_socket_t* raw, const char* error) {
+    auto* found = static_cast<Connection*>(raw->data);
+    found->network->on_read(*found, error);
+  });
 }
 
 FrameNetwork::Connection* FrameNetwork::adopt(h2o_socket_t* socket) {
--- a/src/tasks/frame_network.h
+++ b/src/tasks/frame_network.h
@@ -15,6 +15,7 @@
 #include "model/bytes.h"
 #include "model/endpoint.h"
 #include "tasks/event_loop.h"
+#include "tasks/listener.h"
 
 namespace gorsevalve {
 
@@ -54,7 +55,7 @@
     void append(WaitingFrames later);
   };
 
-  void on_accept();
+  void on_accepted(h2o_socket_t* socket);
   void dial(const Endpoint& to);
   /// Dials again, a moment later, while frames wait that are not old.
   void dial_again_later(const Endpoint& to);
@@ -76,7 +77,7 @@
 
   EventLoop& loop_;
   Receiver receiver_;
-  h2o_socket_t* listener_ = nullptr;
+  std::unique_ptr<Listener> listener_;
   std::list<std::unique_ptr<Connection>> connections_;
   /// The connection, or the latest attempt to connect, of each peer.
   std::map<Endpoint, Connection*> by_peer_;
--- a/src/tasks/http_server.cc
+++ b/src/tasks/http_server.cc
@@ -1,16 +1,16 @@
 #include "tasks/http_server.h"
 
-#include <sys/socket.h>
-#include <unistd.h>
+#include <utility>
 
-#include <cerrno>
-#include <cstring>
-
-#include "tasks/socket_address.h"
+#include "tasks/listener.h"
 
 namespace gorsevalve {
 namespace {
 
+/// Share of the process's descriptors that callers' connections may take: the larger part, since
+/// replicas have hundreds of callers, and few of anything else.
+constexpr double kDescriptorShare = 0.55;
+
 std::string to_string(const h2o_iovec_t& text) { return {text.base, text.len}; }
 
 /// Lives in the request's memory pool: tells the server when the request is gone.
@@ -35,7 +35,7 @@
   h2o_globalconf_t config{};
   h2o_context_t context{};
   h2o_accept_ctx_t accept{};
-  h2o_socket_t* listener = nullptr;
+  std::unique_ptr<Listener> listener;
 };
 
 HttpServer::HttpServer(Handler handler)
@@ -44,19 +44,6 @@
 tl::expected<std::unique_ptr<HttpServer>, std::string> HttpServer::open(EventLoop& loop,
                                                                         const Endpoint& address,
                                                                         Handler handler) {
-  const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  const int on = 1;
-  ::setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-  const sockaddr_in raw = to_sockaddr(address);
-  const bool bound =
-      ::bind(descriptor, reinterpret_cast<const sockaddr*>(&raw), sizeof(raw)) == 0 &&
-      ::listen(descriptor, SOMAXCONN) == 0;
-  if (!bound) {
-    const std::string message =
-        "listen " + gorsevalve::to_string(address) + ": " + std::strerror(errno);
-    ::close(descriptor);
-    return tl::unexpected(message);
-  }
   std::unique_ptr<HttpServer> server(new HttpServer(std::move(handler)));
   Internals& internals = *server->internals_;
   h2o_config_init(&internals.config);
@@ -73,26 +60,18 @@
   h2o_context_init(&internals.context, loop.raw(), &internals.config);
   internals.accept.ctx = &internals.context;
   internals.accept.hosts = internals.config.hosts;
-  internals.listener = h2o_evloop_socket_create(loop.raw(), descriptor, H2O_SOCKET_FLAG_DONT_READ);
-  internals.listener->data = server.get();
-  h2o_socket_read_start(internals.listener, [](h2o_socket_t* socket, const char* /*error*/) {
-    static_cast<HttpServer*>(socket->data)->on_accept();
-  });
-  return server;
-}
-
-HttpServer::~HttpServer() {
-  if (internals_->listener != nullptr) {
-    h2o_socket_close(internals_->listener);
+  auto listener =
+      Listener::open(loop, address, connections_for_share(kDescriptorShare),
+                     [&internals](h2o_socket_t* socket) { h2o_accept(&internals.accept, socket); });
+  if (!listener) {
+    return tl::unexpected(listener.error());
   }
-  // Connections end with the process: h2o's context cannot be disposed while they exist.
+  internals.listener = std::move(*listener);
+  return server;
 }
 
-void HttpServer::on_accept() {
-  while (h2o_socket_t* socket = h2o_evloop_socket_accept(internals_->listener)) {
-    h2o_accept(&internals_->accept, socket);
-  }
-}
+// Connections end with the process: h2o's context cannot be disposed while they exist.
+HttpServer::~HttpServer() = default;
 
 int HttpServer::on_request(h2o_req_t* request) {
   HttpRequest copy;
--- a/src/tasks/http_server.h
+++ b/src/tasks/http_server.h
@@ -55,7 +55,6 @@
  private:
   struct Internals;
   explicit HttpServer(Handler handler);
-  void on_accept();
   int on_request(h2o_req_t* request);
 
   Handler handler_;
--- /dev/null
+++ b/tests/unit/test_listener.cc
@@ -0,0 +1,167 @@
+#include <doctest/doctest.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <vector>
+
+#include "tasks/http_server.h"
+#include "tasks/listener.h"
+#include "tasks/socket_address.h"
+
+namespace gorsevalve {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::uint32_t kLoopback = 0x7F000001;
+
+/// Callers that open connections and send nothing.
+class IdleCallers {
+ public:
+  explicit IdleCallers(Endpoint server) : server_(server) {}
+  ~IdleCallers() { close_all(); }
+  IdleCallers(const IdleCallers&) = delete;
+  IdleCallers& operator=(const IdleCallers&) = delete;
+
+  void open(int count) {
+    for (int i = 0; i < count; ++i) {
+      const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+      REQUIRE(descriptor >= 0);
+      const sockaddr_in raw = to_sockaddr(server_);
+      const int result =
+          ::connect(descriptor, reinterpret_cast<const sockaddr*>(&raw), sizeof(raw));
+      REQUIRE((result == 0 || errno == EINPROGRESS));
+      descriptors_.push_back(descriptor);
+    }
+  }
+  void close_all() {
+    for (const int descriptor : descriptors_) {
+      ::close(descriptor);
+    }
+    descriptors_.clear();
+  }
+
+ private:
+  Endpoint server_;
+  std::vector<int> descriptors_;
+};
+
+/// A port that nobody listens at.
+Endpoint free_endpoint() {
+  const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in raw = to_sockaddr({kLoopback, 0});
+  socklen_t size = sizeof(raw);
+  static_cast<void>(::bind(descriptor, reinterpret_cast<const sockaddr*>(&raw), size));
+  ::getsockname(descriptor, reinterpret_cast<sockaddr*>(&raw), &size);
+  ::close(descriptor);
+  return from_sockaddr(raw);
+}
+
+/// No descriptor may be opened while this lives, beyond those that are open.
+class NoDescriptorsLeft {
+ public:
+  NoDescriptorsLeft() {
+    ::getrlimit(RLIMIT_NOFILE, &before_);
+    const int next = ::dup(0);
+    ::close(next);
+    rlimit lowered = before_;
+    lowered.rlim_cur = static_cast<rlim_t>(next);
+    REQUIRE(::setrlimit(RLIMIT_NOFILE, &lowered) == 0);
+  }
+  ~NoDescriptorsLeft() { ::setrlimit(RLIMIT_NOFILE, &before_); }
+  NoDescriptorsLeft(const NoDescriptorsLeft&) = delete;
+  NoDescriptorsLeft& operator=(const NoDescriptorsLeft&) = delete;
+
+ private:
+  rlimit before_{};
+};
+
+/// Runs the loop until something holds, for bounded turns.
+template <typename Condition>
+bool run_until(EventLoop& loop, Condition holds) {
+  constexpr int kMaxTurns = 200;
+  for (int turn = 0; turn < kMaxTurns && !holds(); ++turn) {
+    h2o_evloop_run(loop.raw(), 50);
+  }
+  return holds();
+}
+
+/// Turns of the loop that end before a time has passed; one that only waits makes few.
+int turns_in(EventLoop& loop, Duration time) {
+  int turns = 0;
+  for (const Instant end = monotonic_now() + time; monotonic_now() < end; ++turns) {
+    h2o_evloop_run(loop.raw(), 50);
+  }
+  return turns;
+}
+
+}  // namespace
+
+TEST_SUITE("listener") {
+  TEST_CASE("a listener takes as many connections as it may, and goes on when one closes") {
+    EventLoop loop;
+    const Endpoint address = free_endpoint();
+    std::vector<h2o_socket_t*> accepted;
+    auto listener =
+        Listener::open(loop, address, 3, [&](h2o_socket_t* socket) { accepted.push_back(socket); });
+    REQUIRE(listener);
+    IdleCallers callers(address);
+    callers.open(8);
+    CHECK(run_until(loop, [&] { return (*listener)->pauses() == 1; }));
+    CHECK(accepted.size() == 3);
+    CHECK((*listener)->connections() == 3);
+    // Paused: the loop only waits, although others stand in the queue.
+    CHECK(turns_in(loop, milliseconds(300)) < 20);
+    h2o_socket_close(accepted[0]);
+    CHECK(run_until(loop, [&] { return accepted.size() == 4; }));
+    CHECK((*listener)->connections() == 3);
+    for (std::size_t i = 1; i < accepted.size(); ++i) {
+      h2o_socket_close(accepted[i]);
+    }
+  }
+
+  TEST_CASE("without descriptors a listener waits, and serves those in the queue afterwards") {
+    // A control replica under a limit of 64 descriptors and 120 idle connections turned in place:
+    // accepting failed, and the listening socket stayed readable.
+    EventLoop loop;
+    const Endpoint address = free_endpoint();
+    std::vector<h2o_socket_t*> accepted;
+    auto listener = Listener::open(loop, address, 100,
+                                   [&](h2o_socket_t* socket) { accepted.push_back(socket); });
+    REQUIRE(listener);
+    IdleCallers callers(address);
+    callers.open(5);
+    {
+      const NoDescriptorsLeft exhausted;
+      CHECK(turns_in(loop, milliseconds(500)) < 40);
+      CHECK(accepted.empty());
+      CHECK((*listener)->pauses() > 0);
+    }
+    CHECK(run_until(loop, [&] { return accepted.size() == 5; }));
+    for (h2o_socket_t* socket : accepted) {
+      h2o_socket_close(socket);
+    }
+  }
+
+  TEST_CASE("the shares of listeners leave descriptors for files") {
+    rlimit limit{};
+    REQUIRE(::getrlimit(RLIMIT_NOFILE, &limit) == 0);
+    CHECK(connections_for_share(0.5) <= limit.rlim_cur / 2);
+    CHECK(connections_for_share(0) == 1);
+  }
+
+  TEST_CASE("an address that is taken is named") {
+    EventLoop loop;
+    const Endpoint address = free_endpoint();
+    const auto ignore = [](h2o_socket_t* socket) { h2o_socket_close(socket); };
+    const auto first = Listener::open(loop, address, 1, ignore);
+    REQUIRE(first);
+    const auto second = Listener::open(loop, address, 1, ignore);
+    REQUIRE_FALSE(second);
+    CHECK(second.error().find(to_string(address)) != std::string::npos);
+  }
+}
+
+}  // namespace gorsevalve
