--- a/src/programs/explain.cc
+++ b/src/programs/explain.cc
@@ -47,10 +47,21 @@
 
 /// Events that change what a node believes or whether it runs at all.
 bool concerns_whole_node(const std::string& event) {
-  static const std::set<std::string> kEvents = {
-      "starting",      "started",         "stopping",          "stopped",         "ready",
-      "not_ready",     "replica_silent",  "loop_stalled",      "became_leader",   "lost_leadership",
-      "leader_silent", "storage_refuses", "log_lines_dropped", "revisions_behind"};
+  static const std::set<std::string> kEvents = {"starting",
+                                                "started",
+                                                "stopping",
+                                                "stopped",
+                                                "ready",
+                                                "not_ready",
+                                                "replica_silent",
+                                                "loop_stalled",
+                                                "became_leader",
+                                                "lost_leadership",
+                                                "leader_silent",
+                                                "storage_refuses",
+                                                "log_lines_dropped",
+                                                "revisions_behind",
+                                                "accepting_paused"};
   return kEvents.contains(event);
 }
 
--- a/tests/unit/test_explain.cc
+++ b/tests/unit/test_explain.cc
@@ -1,4 +1,4 @@
-/// Three kinds of failed request, from the lines that the programs write to their cause.
+/// Four kinds of failed request, from the lines that the programs write to their cause.
 #include <doctest/doctest.h>
 
 #include "programs/explain.h"
@@ -51,6 +51,17 @@
     CHECK(explained[1].relation == "target of the flow");
   }
 
+  TEST_CASE("reset because its target is dead: the probes' conclusion follows the placement") {
+    const auto explained = explain(
+        kFlow, {line("01.000", "edge-1", "flow_decision",
+                     R"("flow":")" + kFlow + R"(","reason":"placed","target":77)"),
+                line("03.000", "edge-1", "target_unreachable",
+                     R"("target":77,"reason":"silent","probes":3,"took_ms":125,"flows_reset":2)"),
+                line("03.000", "edge-1", "target_unreachable", R"("target":78,"probes":3)")});
+    CHECK(events_of(explained) == std::vector<std::string>{"flow_decision", "target_unreachable"});
+    CHECK(explained[1].relation == "target of the flow");
+  }
+
   TEST_CASE("late because its node stopped: the node's end stands between its decisions") {
     const auto explained =
         explain(kFlow, {line("01.000", "edge-1", "flow_decision",
