--- a/tests/unit/test_allocation.cc
+++ b/tests/unit/test_allocation.cc
@@ -3,6 +3,7 @@
 
 #include "allocation_counter.h"
 #include "balancer_fixture.h"
+#include "core/steering/flow_steering.h"
 
 namespace gorsevalve {
 namespace {
@@ -61,6 +62,48 @@
     // The heap of deadlines grows by doubling: a few steps, not one an exchange.
     CHECK(allocations <= 2);
   }
+
+  TEST_CASE("packets of open flows that steer by tokens allocate nothing") {
+    SteeringState state;
+    state.settings.version = 1;
+    state.settings.idle_timeout_ms = 60000;
+    const Endpoint address{0xC6120001, 443};
+    state.settings.frontends.push_back({"f", address, {{"alpha", 1}}, {}, 1000, 100});
+    for (TargetId id = 1; id <= 600; ++id) {
+      RegisteredTarget target;
+      target.id = id;
+      target.token = static_cast<FlowToken>(100 + id);
+      target.pool = "alpha";
+      target.address = {10, static_cast<std::uint16_t>(8000 + id)};
+      state.targets.push_back(target);
+    }
+    const Instant start{std::chrono::seconds(1000)};
+    FlowSteering steering(7);
+    steering.adopt(state, start);
+    steering.confirm(start);
+    // What went before is not observed in the first second.
+    Instant now = start;
+    CallerPacket packet;
+    packet.flow = {{0x64400007, 1}, address};
+    packet.token = 101;
+    packet.data_size = 100;
+    const auto exchange = [&] {
+      packet.sequence += 100;
+      packet.acknowledged += 500;
+      now += std::chrono::microseconds(10);
+      return steering.on_packet(packet, now).action == SteeringAction::kForward;
+    };
+    constexpr int kMeasured = 10000;
+    REQUIRE(exchange());
+    const std::uint64_t before = allocation_count();
+    int forwarded = 0;
+    for (int i = 0; i < kMeasured; ++i) {
+      forwarded += exchange() ? 1 : 0;
+    }
+    const std::uint64_t allocations = allocation_count() - before;
+    CHECK(forwarded == kMeasured);
+    CHECK(allocations == 0);
+  }
 }
 
 }  // namespace gorsevalve
