Count allocations that must not throw, too; findings of the address sanitizer

Cause: tests/unit/allocation_counter replaced operator new but not its form that does not throw, so std::stable_sort's buffer came from one allocator and went to the other (address sanitizer, unit.explain).

--- a/tests/unit/allocation_counter.cc
+++ b/tests/unit/allocation_counter.cc
@@ -17,6 +17,10 @@
   }
   throw std::bad_alloc();
 }
+void* operator new(std::size_t size, const std::nothrow_t& /*tag*/) noexcept {
+  ++allocations;
+  return std::malloc(size);  // NOLINT: this is the allocation function
+}
 void operator delete(void* memory) noexcept { std::free(memory); }               // NOLINT
 void operator delete(void* memory, std::size_t) noexcept { std::free(memory); }  // NOLINT
 
