A workload over lossy links: balancers keep up, whatever is lost, over many seeds

Now: four balancers, three replicas, changes without pause; connections reset, or silent for good one way or both; replicas that stand still; balancers cut off one way; figures of targets. Checked: each change is in force within 3 s at every balancer that is not cut off itself. Two deliberate faults, one at each end (a replica trusts its own sends, a balancer takes any message for an answer): both together are caught; alone each is made good by the other end.

A member gets the word "current" only from a replica that reaches the leader: one-way losses of reports left it without a lease, and it stayed.

--- a/scripts/fault_proxy.py
+++ b/scripts/fault_proxy.py
@@ -89,6 +89,13 @@
             if pair.public in addresses or pair.client_name in addresses:
                 pair.reset_wanted = True
 
+    def silence_connections(self, share, way):
+        """From now on a share of the open connections carries nothing `up` (from the client), `down`, or `both`
+        ways, for good; they stay open."""
+        for pair in list(self.pairs):
+            if self.random.random() < share:
+                pair.silent_ways = {"up", "down"} if way == "both" else {way}
+
     def heal(self):
         self.cuts = set()
 
@@ -161,6 +168,7 @@
         self.public = public
         self.client_name = None
         self.reset_wanted = False
+        self.silent_ways = set()
         self.closed = False
         self.peer = {client: server, server: client}
         self.client = client
@@ -192,7 +200,8 @@
             self.client_name = sender_of(frame[FRAME_LENGTH:])
         ends = (self.client_name, self.public)
         sender, receiver = ends if sock is self.client else reversed(ends)
-        if self.proxy._is_cut(sender, receiver):
+        way = "up" if sock is self.client else "down"
+        if way in self.silent_ways or self.proxy._is_cut(sender, receiver):
             self.proxy.dropped += 1
             return True
         if self.proxy.delay > 0 or self.proxy.delayed:
--- a/src/core/balancer/control_client.cc
+++ b/src/core/balancer/control_client.cc
@@ -59,6 +59,10 @@
 }
 
 void ControlClient::on_message(const Endpoint& from, const NodeMessage& message, Instant now) {
+  if (faults_.trust_any_message && replica() == from) {
+    last_answer_ = now;
+    followed_since_ = now;
+  }
   if (const auto* reply = std::get_if<HeartbeatReply>(&message)) {
     on_reply(from, *reply, now);
   } else if (const auto* update = std::get_if<FleetUpdate>(&message)) {
--- a/src/core/balancer/control_client.h
+++ b/src/core/balancer/control_client.h
@@ -83,6 +83,8 @@
 /// Deliberate faults, for the test that shows that the checkers can fail. All off in programs.
 struct ControlClientFaults {
   bool ignore_revision_floor = false;
+  /// Whatever the chosen replica sends counts as an answer, and confirms the state.
+  bool trust_any_message = false;
 };
 
 class ControlClient {
--- a/src/core/control/control_node.cc
+++ b/src/core/control/control_node.cc
@@ -17,8 +17,8 @@
 constexpr std::size_t kSharedUpdates = 16;
 /// A balancer that waits to hear that this replica is current asks again within this time.
 constexpr Duration kWaitingMemory = std::chrono::seconds(2);
-/// A follower whose reports no leader confirmed for this long does not answer targets: the leader
-/// would take them for silent. Three reports.
+/// A follower whose reports no leader confirmed for this long answers neither targets nor members:
+/// the leader would take them for silent. Three reports.
 constexpr Duration kReportTimeout = 3 * control_timing::kHeartbeatInterval;
 /// Pause between two editions of the figures about targets.
 constexpr Duration kFiguresInterval = std::chrono::milliseconds(2000);
@@ -76,8 +76,10 @@
   reply.may_stop = may_stop_.contains(heartbeat.member.address) ||
                    (!is_member && heartbeat.member.state == MemberState::kLeaving);
   reply.revision = state_.fleet().revision;
-  // A balancer that holds more proves that this replica is behind, whatever it hears.
-  reply.is_current = replica_->is_current(now) && heartbeat.revision <= reply.revision;
+  // A balancer that holds more proves that this replica is behind, whatever it hears. Members need
+  // the leader's word for their lease; observers need the state only.
+  const bool is_served = heartbeat.member.state == MemberState::kObserver || reaches_leader(now);
+  reply.is_current = replica_->is_current(now) && is_served && heartbeat.revision <= reply.revision;
   reply.zone = zone_;
   for (const auto& replica : replica_->replicas().replicas) {
     reply.replicas.push_back(replica.address);
@@ -126,7 +128,9 @@
   if (!heartbeat.wants_update) {
     // It follows another replica or looks for one. Pushes would find no connection after a while,
     // and would count as sent when it comes back.
-    updates_.erase(from);
+    if (!faults_.trust_own_sends) {
+      updates_.erase(from);
+    }
     return;
   }
   const Revision revision = state_.fleet().revision;
@@ -136,8 +140,9 @@
     progress.on_in_force(revision);
     return;
   }
-  const bool may_arrive =
-      heartbeat.revision < revision && progress.is_under_way(revision, now) && !heartbeat.has_gap;
+  const bool is_under_way = progress.is_under_way(revision, now) && !heartbeat.has_gap;
+  const bool counts_as_sent = faults_.trust_own_sends && progress.sent() == revision;
+  const bool may_arrive = heartbeat.revision < revision && (is_under_way || counts_as_sent);
   if (!may_arrive) {
     if (progress.sent() > heartbeat.revision) {
       output_.on_update_repeated({from, heartbeat.revision, progress.sent(), heartbeat.has_gap});
@@ -214,7 +219,10 @@
   if (progress.sent() >= revision) {
     return true;
   }
-  if (!is_followed_by(address, now) || !send_update(address, progress.sent(), 0)) {
+  if (!is_followed_by(address, now)) {
+    return false;
+  }
+  if (!send_update(address, progress.sent(), 0) && !faults_.trust_own_sends) {
     return false;
   }
   progress.on_pushed(revision, now);
@@ -378,13 +386,13 @@
                                                     : ProposalStatus::kPending;
 }
 
-bool ControlNode::may_answer_targets(Instant now) const {
+bool ControlNode::reaches_leader(Instant now) const {
   const bool is_heard = confirmed_report_ && now - *confirmed_report_ < kReportTimeout;
-  return replica_->is_current(now) && (replica_->is_leader() || is_heard);
+  return replica_->is_leader() || is_heard;
 }
 
 AnnouncementStatus ControlNode::hear(const RegisteredTarget& announced, Instant now) {
-  if (!may_answer_targets(now)) {
+  if (!replica_->is_current(now) || !reaches_leader(now)) {
     return AnnouncementStatus::kNotLeader;
   }
   const bool leads = replica_->is_leader();
--- a/src/core/control/control_node.h
+++ b/src/core/control/control_node.h
@@ -49,6 +49,8 @@
 struct ControlFaults {
   bool accept_before_commit = false;
   bool send_older_revisions = false;
+  /// What was handed to the network counts as under way, whatever the balancer says.
+  bool trust_own_sends = false;
 };
 
 /// Answer to a submission or a read.
@@ -181,8 +183,9 @@
   void take_figures(TargetFigures figures);
   [[nodiscard]] std::optional<TargetFigures> figures_after(std::uint64_t edition) const;
   [[nodiscard]] Duration lease_left(Instant now) const;
-  /// True when this replica is current and the leader hears it, too.
-  [[nodiscard]] bool may_answer_targets(Instant now) const;
+  /// True when this replica leads, or when a leader has lately confirmed its reports: hearing the
+  /// leader does not show that the leader hears this replica.
+  [[nodiscard]] bool reaches_leader(Instant now) const;
 
   ReplicaConfig config_;
   std::string zone_;
--- a/tests/platform/soak/faults.py
+++ b/tests/platform/soak/faults.py
@@ -4,6 +4,7 @@
 import asyncio
 import contextlib
 
+from contact import Contact
 from machine import STOP_TIME
 from promises import now
 
@@ -20,17 +21,32 @@
         self.control_lock = asyncio.Lock()
 
     def planned(self):
-        return [self.roll_balancers, self.stop_control, self.change_configuration, self.storm, self.race,
-                self.lost_answers, self.invalid_configuration, self.release, self.leave_without_notice,
+        return [self.roll_balancers, self.stop_control, self.change_configuration, self.storm,
+                self.storm_from_several, self.race, self.lost_answers, self.invalid_configuration, self.release, self.leave_without_notice,
                 self.new_settings]
 
     def unplanned(self):
         return [self.kill_balancer, self.freeze_balancer, self.kill_control, self.freeze_control,
                 self.kill_all_controls, self.kill_everything, self.wipe_control, self.replace_control,
-                self.cut_control, self.cut_control_one_way, self.cut_balancer, self.delay_messages,
-                self.reset_connections, self.lose_packets, self.fill_disk, self.crash_target,
+                self.cut_control, self.cut_control_one_way, self.cut_balancer, self.cut_balancer_one_way,
+                self.delay_messages, self.reset_connections, self.silence_connections, self.lose_packets, self.fill_disk, self.crash_target,
                 self.reuse_address, self.slow_target]
 
+    def beside_storm(self):
+        """What comes one after the other beside changes without pause."""
+        return [self.kill_control, self.kill_control, self.freeze_control, self.kill_balancer,
+                self.cut_balancer, self.cut_balancer_one_way, self.reset_connections,
+                self.silence_connections, self.cut_control, self.cut_control_one_way]
+
+    @contextlib.contextmanager
+    def disturbed(self, name):
+        """Meanwhile a machine, the core or all machines are out of touch."""
+        self.world.contact.begin(name)
+        try:
+            yield
+        finally:
+            self.world.contact.end(name)
+
     # Machines.
     @contextlib.asynccontextmanager
     async def held(self, machine):
@@ -150,39 +166,62 @@
         return [one.internal_address], [m.internal_address for m in self.world.controls if m is not one]
 
     async def cut_control(self):
-        self.world.proxy.cut(*self.split_off_control())
-        await self.for_a_while()
-        self.world.proxy.heal()
+        with self.disturbed(Contact.CORE):
+            self.world.proxy.cut(*self.split_off_control())
+            await self.for_a_while()
+            self.world.proxy.heal()
 
     async def cut_control_one_way(self):
         one, others = self.split_off_control()
         ways = (one, others) if self.random.random() < 0.5 else (others, one)
-        self.world.proxy.cut_one_way(*ways)
-        await self.for_a_while()
-        self.world.proxy.heal()
+        with self.disturbed(Contact.CORE):
+            self.world.proxy.cut_one_way(*ways)
+            await self.for_a_while()
+            self.world.proxy.heal()
 
     async def cut_balancer(self):
-        """A balancer names itself by its second internal port."""
         machine = self.random.choice(self.world.balancers)
-        self.world.proxy.cut([f"{machine.ip}:7721"], [m.internal_address for m in self.world.controls])
-        await self.for_a_while()
-        self.world.proxy.heal()
+        with self.disturbed(machine.name):
+            self.world.proxy.cut([machine.peer_address], self.control_names())
+            await self.for_a_while()
+            self.world.proxy.heal()
+
+    async def cut_balancer_one_way(self):
+        """Either what it says or what it is told gets lost; connections stay open."""
+        machine = self.random.choice(self.world.balancers)
+        ways = [[machine.peer_address], self.control_names()]
+        self.random.shuffle(ways)
+        with self.disturbed(machine.name):
+            self.world.proxy.cut_one_way(*ways)
+            await self.for_a_while()
+            self.world.proxy.heal()
+
+    def control_names(self):
+        return [machine.internal_address for machine in self.world.controls]
+
+    async def silence_connections(self):
+        """Some of the open connections carry nothing any more, both ways or one way, and never end."""
+        self.world.contact.note(Contact.ALL)
+        self.world.proxy.silence_connections(self.random.uniform(0.2, 1.0), self.random.choice(("both", "up", "down")))
 
     async def delay_messages(self):
-        self.world.proxy.delay = self.random.uniform(0.02, 0.12)
-        await self.for_a_while()
-        self.world.proxy.delay = 0.0
+        with self.disturbed(Contact.ALL):
+            self.world.proxy.delay = self.random.uniform(0.02, 0.12)
+            await self.for_a_while()
+            self.world.proxy.delay = 0.0
 
     async def reset_connections(self):
         machine = self.random.choice(self.world.controls)
         for _ in range(3):
+            self.world.contact.note(Contact.ALL)
             self.world.proxy.reset_connections([machine.internal_address])
             await asyncio.sleep(0.3)
 
     async def lose_packets(self):
-        self.world.loss = self.random.uniform(0.005, 0.04)
-        await self.for_a_while()
-        self.world.loss = 0.0
+        with self.disturbed(Contact.ALL):
+            self.world.loss = self.random.uniform(0.005, 0.04)
+            await self.for_a_while()
+            self.world.loss = 0.0
 
     # Configuration.
     async def change_configuration(self):
@@ -194,6 +233,13 @@
             await self.change_configuration()
             await asyncio.sleep(0.2)
 
+    async def storm_from_several(self):
+        """Three senders at once for some seconds; one answer in five is lost."""
+        self.world.operator.loses_answers = 0.2
+        until = now() + self.random.uniform(4, 10)
+        await asyncio.gather(*(self.world.operator.send_changes(until, 1.0) for _ in range(3)))
+        self.world.operator.loses_answers = 0.0
+
     async def race(self):
         """Two versions at once: the higher one holds."""
         operator = self.world.operator
--- a/tests/platform/soak/machine.py
+++ b/tests/platform/soak/machine.py
@@ -7,6 +7,7 @@
 import signal
 import subprocess
 
+from contact import Contact
 from promises import now
 
 ROLES = {"balancer": "gorsevalve-platform-balancer", "control": "gorsevalve-platform-control"}
@@ -32,13 +33,34 @@
         self.stop_wanted = True
         self.is_frozen = False
         self.started_at = 0.0
+        self.is_disturbed = False
         # Held by the action that handles this machine, so that no process is started twice.
         self.lock = asyncio.Lock()
 
+    @property
+    def contact_name(self):
+        """What is done to a replica concerns the core."""
+        return Contact.CORE if self.role == "control" else self.name
+
+    def begin_disturbance(self):
+        if not self.is_disturbed:
+            self.is_disturbed = True
+            self.world.contact.begin(self.contact_name)
+
+    def end_disturbance(self):
+        if self.is_disturbed:
+            self.is_disturbed = False
+            self.world.contact.end(self.contact_name)
+
     @property
     def internal_address(self):
         return f"{self.ip}:{INTERNAL_PORT}"
 
+    @property
+    def peer_address(self):
+        """By which a balancer names itself to replicas."""
+        return f"{self.ip}:{INTERNAL_PORT + 1}"
+
     @property
     def control_address(self):
         return f"{self.ip}:{self.world.control_port}"
@@ -71,6 +93,8 @@
                                           env=environment, restore_signals=False)
         self.stop_wanted = False
         self.started_at = now()
+        self.world.contact.note(self.contact_name)
+        self.end_disturbance()
 
     @property
     def is_running(self):
@@ -81,6 +105,7 @@
 
     def kill(self):
         """Ends the process at once."""
+        self.begin_disturbance()
         self.stop_wanted = True
         if self.is_running:
             self.popen.kill()
@@ -88,13 +113,15 @@
         self.is_frozen = False
 
     def terminate(self):
-        """Asks the process to end; `has_stopped` or `kill` follows."""
+        """Asks the process to end; `kill` follows."""
+        self.begin_disturbance()
         self.stop_wanted = True
         if self.is_running:
             self.popen.send_signal(signal.SIGTERM)
 
     def freeze(self):
         if self.is_running:
+            self.begin_disturbance()
             self.popen.send_signal(signal.SIGSTOP)
             self.is_frozen = True
 
@@ -102,6 +129,8 @@
         if self.is_running:
             self.popen.send_signal(signal.SIGCONT)
         self.is_frozen = False
+        if self.is_running:
+            self.end_disturbance()
 
     def hang_up(self):
         """The settings were written anew."""
@@ -112,11 +141,13 @@
 
     def fill_disk(self):
         """From now on the disk takes no octet more."""
+        self.begin_disturbance()
         sizes = [path.stat().st_size for path in self.data.rglob("*") if path.is_file()]
         self._limit_files(max(sizes, default=0))
 
     def free_disk(self):
         self._limit_files(resource.RLIM_INFINITY)
+        self.end_disturbance()
 
     def _limit_files(self, octets):
         if self.is_running:
--- a/tests/platform/soak/operator_calls.py
+++ b/tests/platform/soak/operator_calls.py
@@ -21,6 +21,7 @@
         self.world = world
         self.version = 0
         self.extra = []
+        self.all_extra = []
         self.loses_answers = 0.0
         self.counter = 0
 
@@ -54,7 +55,13 @@
         self.version += self.world.random.randint(1, 3)
         self.counter += 1
         self.extra = self.extra[1:] if len(self.extra) > 3 else self.extra
-        self.extra = self.extra + [(self.world.feed_frontend[0], FIRST_EXTRA_ROUTE + self.counter)]
+        added = (self.world.feed_frontend[0], FIRST_EXTRA_ROUTE + self.counter)
+        self.extra = self.extra + [added]
+        self.all_extra.append(added)
+
+    def recent_routes(self, count):
+        """Routes that were added last, some of which were dropped since."""
+        return self.all_extra[-count:]
 
     async def submit(self, patience=30.0):
         """Sends the wanted configuration until it is acknowledged; True when it was."""
@@ -75,6 +82,13 @@
             pause = min(2 * pause, 1.0)
         return False
 
+    async def send_changes(self, until, longest_pause):
+        """One of several senders at once: change after change, as long as answers come."""
+        while now() < until:
+            self.change()
+            await self.submit()
+            await asyncio.sleep(self.world.random.uniform(0.1, longest_pause))
+
     async def submit_invalid(self):
         """Something invalid must not be acknowledged."""
         text = self.body(self.version + 1)
--- a/tests/platform/soak/promises.py
+++ b/tests/platform/soak/promises.py
@@ -21,7 +21,8 @@
 class Promises:
     """Collects violations; everything that callers, targets and the operator see is told to it."""
 
-    def __init__(self):
+    def __init__(self, contact):
+        self.contact = contact
         self.violations = []
         self.calm_since = now()
         self.disturbances = 0
@@ -118,6 +119,20 @@
         if holder is not None and holder.is_running and not dropped:
             self.violate("FLOW", f"{flow} was reset while {holder.name} holds it")
 
+    def on_probe(self, machine, frontend, sent_at, outcome):
+        """One balancer opened a flow at a service, or refused it: some version in force must allow that."""
+        self.counts["probes"] += 1
+        in_touch = self.contact.is_in_touch(machine, sent_at)
+        least = self.acknowledged_before(sent_at - APPLY) if in_touch else 0
+        allowed = set()
+        for version, routes in self.sent_versions.items():
+            if version >= least:
+                allowed |= routes.get(frontend, {None})
+        self.counts["probes judged by time"] += 1 if in_touch and least > 0 else 0
+        if (None if outcome == "refused" else outcome) not in allowed:
+            self.violate("CONFIG", f"{machine} {'refused' if outcome == 'refused' else 'opened at ' + outcome} "
+                                   f"{frontend}, sent {now() - sent_at:.2f} s ago; {least} and later allow {allowed}")
+
     def on_refused_route(self, frontend, sent_at):
         """An opening packet was reset by the system at once."""
         self.counts["flows refused"] += 1
--- /dev/null
+++ b/tests/platform/soak/route_probes.py
@@ -0,0 +1,74 @@
+"""Asks each balancer directly for routes that were just added or dropped, and judges what it does by the versions that
+may be in force there. The platform does the same; callers of the soak use three routes that never change."""
+
+import asyncio
+import socket
+
+import packets
+from packets import RST, SYN, Packet
+from promises import APPLY, now
+
+INTERVAL = 0.12
+# Opening packets of one probe.
+COPIES = (0.0, 0.2, 0.6)
+OPENING_TIME = 1.4
+# Routes that were dropped longer ago are not asked for any more.
+RECENT_ROUTES = 6
+
+
+class RouteProbes(asyncio.DatagramProtocol):
+    """One caller that opens a flow, sees what becomes of it, and forgets it."""
+
+    def __init__(self, world, ip):
+        self.world = world
+        self.ip = ip
+        self.transport = None
+        self.port = 20000
+        self.ends = {}
+
+    async def start(self):
+        loop = asyncio.get_running_loop()
+        self.transport, _ = await loop.create_datagram_endpoint(
+            lambda: self, local_addr=(self.ip, self.world.datagram_port))
+
+    def datagram_received(self, octets, _):
+        packet = packets.decode(octets)
+        if packet is None:
+            return
+        end = self.ends.get(packet.destination[1])
+        if end is None or end.done():
+            return
+        if packet.has(RST) and packet.is_reset_of_the_system():
+            end.set_result("refused")
+        elif packet.has(SYN):
+            target = self.target_of(packet)
+            end.set_result(target.service if target else None)
+
+    def target_of(self, packet):
+        """The target that answered; it holds the flow by the caller's address."""
+        return self.world.holder_of_opening((packet.destination, packet.source))
+
+    async def ask_forever(self, machine):
+        """Probes one balancer for ever."""
+        while True:
+            await asyncio.sleep(INTERVAL * (0.5 + self.world.random.random()))
+            routes = self.world.operator.recent_routes(RECENT_ROUTES)
+            if routes and self.world.router.is_in(machine):
+                self.world.spawn(self.ask(machine, self.world.random.choice(routes)))
+
+    async def ask(self, machine, frontend):
+        self.port = 20000 + (self.port - 19999) % 40000
+        source, port = (self.ip, self.port), self.port
+        end = asyncio.get_running_loop().create_future()
+        self.ends[port] = end
+        begun = now()
+        for number, at in enumerate(COPIES):
+            await asyncio.wait({end}, timeout=max(0.0, begun + at - now()))
+            if end.done():
+                break
+            packet = Packet(source, frontend, SYN, self.world.random.randrange(1 << 30), number)
+            self.transport.sendto(packets.encode(packet), (machine.ip, self.world.datagram_port))
+        await asyncio.wait({end}, timeout=max(0.0, begun + OPENING_TIME - now()))
+        del self.ends[port]
+        if end.done() and end.result() is not None:
+            self.world.promises.on_probe(machine.name, frontend, begun, end.result())
--- a/tests/platform/soak/soak.py
+++ b/tests/platform/soak/soak.py
@@ -5,6 +5,7 @@
     tests/platform/soak/soak.py --runs 4 --seconds 40           # fresh seeds
     tests/platform/soak/soak.py --seed 17                       # one seed
     tests/platform/soak/soak.py --planned                       # planned work only: no request may fail
+    tests/platform/soak/soak.py --storm                         # changes without pause beside one fault at a time
     tests/platform/soak/soak.py --known                         # the seeds in known_seeds.txt
 
 Takes about 20 processes and 300 MB. It ends only processes that it started.
@@ -33,6 +34,8 @@
 # Long enough for the rules that hold only where nothing was disturbed for a while.
 LONG_PAUSE = 7.0
 LONG_PAUSE_SHARE = 0.2
+# Beside a storm of changes: long enough after each fault for machines to be in touch, and to see what they do then.
+STORM_PAUSE = 7.0
 FIRST_NETWORK = 100
 
 
@@ -53,6 +56,31 @@
         await asyncio.sleep(LONG_PAUSE if is_long else world.random.uniform(0.1, SHORT_PAUSE))
 
 
+async def keep_changing(world, until):
+    """Changes without pause from three senders, some answers lost."""
+    world.operator.loses_answers = 0.2
+    await asyncio.gather(*(world.operator.send_changes(until, 1.0) for _ in range(3)))
+    world.operator.loses_answers = 0.0
+
+
+async def keep_harming(world, faults, until):
+    """One fault after the other, with pauses in which machines are in touch."""
+    while now() < until - STORM_PAUSE:
+        action = world.random.choice(faults.beside_storm())
+        print(f"{now() - world.began:7.1f} s  {action.__name__}", flush=True)
+        world.promises.disturb()
+        await action()
+        await asyncio.sleep(STORM_PAUSE)
+        world.promises.calm()
+
+
+async def play_storm(world, seconds):
+    faults = Faults(world)
+    until = now() + seconds
+    await asyncio.gather(keep_changing(world, until), keep_harming(world, faults, until))
+    await last_look(world, planned_only=False)
+
+
 async def last_look(world, planned_only):
     """After everything is healed and RECOVERY has passed, each request is served."""
     await asyncio.sleep(RECOVERY if not planned_only else 1.0)
@@ -69,6 +97,9 @@
 async def play(world, arguments):
     world.began = now()
     await world.start()
+    if arguments.storm:
+        await play_storm(world, arguments.seconds)
+        return
     faults = Faults(world)
     until = now() + arguments.seconds
     if arguments.sabotage:
@@ -105,6 +136,8 @@
     finally:
         proxy.stop()
     counts = ", ".join(f"{name} {count}" for name, count in sorted(world.promises.counts.items()))
+    behind = max(watch.longest for watch in world.version_watches)
+    counts += f"; longest behind {behind:.2f} s"
     broken = len(world.promises.violations)
     print(f"seed {seed}, {controls} replicas: {broken} violations; {counts}", flush=True)
     (folder / "violations").write_text("\n".join(world.promises.violations) + "\n")
@@ -128,6 +161,7 @@
     parser.add_argument("--seed", type=int)
     parser.add_argument("--planned", action="store_true")
     parser.add_argument("--known", action="store_true")
+    parser.add_argument("--storm", action="store_true")
     parser.add_argument("--sabotage", action="store_true",
                         help="all disks are lost at once, more than is allowed: violations must be found")
     arguments = parser.parse_args()
--- a/tests/platform/soak/world.py
+++ b/tests/platform/soak/world.py
@@ -5,12 +5,15 @@
 import random
 
 import http_call
+from contact import STALL, Contact
 from caller import DOWNLOAD, FEED, UPDATE, Caller
 from machine import INTERNAL_PORT, Machine
 from operator_calls import Operator
 from promises import Promises, now
+from route_probes import RouteProbes
 from router import Router
 from target import Target
+from version_watch import VersionWatch
 
 ZONES = ("zone-a", "zone-b", "zone-c")
 BALANCERS_PER_ZONE = 2
@@ -35,7 +38,8 @@
         self.network = network
         self.proxy = proxy
         self.zones = ZONES
-        self.promises = Promises()
+        self.contact = Contact()
+        self.promises = Promises(self.contact)
         self.router = Router(self)
         self.operator = Operator(self)
         self.loss = 0.0
@@ -53,6 +57,7 @@
         self.balancers = [Machine(self, "balancer", f"balancer-{zone[-1]}-{i}", zone, self.ip(10, next(self.numbers)))
                           for zone in ZONES for i in range(BALANCERS_PER_ZONE)]
         self.all_machines += self.balancers
+        self.version_watches = [VersionWatch(self, machine) for machine in self.balancers]
 
     def ip(self, group, number):
         return f"127.{self.network}.{group}.{number}"
@@ -82,6 +87,13 @@
         """The living target where a flow is open."""
         return next((t for t in self.targets if t.is_running and key in t.flows and t.flows[key].is_open), None)
 
+    def holder_of_opening(self, key):
+        """The living target that took the opening packet of a flow, which it forgets."""
+        for target in self.targets:
+            if target.is_running and target.flows.pop(key, None) is not None:
+                return target
+        return None
+
     def on_target_ended(self, target):
         self.targets.remove(target)
 
@@ -113,7 +125,11 @@
                     await self.start_target(service, zone)
         await self.wait_ready()
         await self.start_callers()
+        await self.start_route_probes()
+        for watch in self.version_watches:
+            self.spawn(watch.run_forever())
         self.spawn(self.operator.read_forever())
+        self.spawn(self.watch_own_stalls())
         self.spawn(self.watch_ends())
 
     async def start_callers(self):
@@ -128,6 +144,21 @@
                     for _ in range(count):
                         self.spawn(caller.use_forever(kind, frontend))
 
+    async def start_route_probes(self):
+        probes = RouteProbes(self, self.ip(31, next(self.numbers)))
+        await probes.start()
+        for machine in self.balancers:
+            self.spawn(probes.ask_forever(machine))
+
+    async def watch_own_stalls(self, interval=0.05):
+        """Where this program itself had to wait, nothing is judged by time."""
+        while True:
+            begun = now()
+            await asyncio.sleep(interval)
+            if now() - begun > interval + STALL:
+                self.promises.counts["own stalls"] += 1
+                self.contact.note(Contact.ALL)
+
     async def wait_ready(self, patience=20.0):
         begun = now()
         while not all(self.router.is_in(machine) for machine in self.balancers):
--- /dev/null
+++ b/tests/sim/test_following_workload.cc
@@ -0,0 +1,307 @@
+/// A seeded workload of the core: balancers follow three replicas while changes come without pause,
+/// connections are lost, reset or silenced one way or both, replicas stand still, balancers are cut
+/// off, and figures of targets flow. Checks that each balancer that is not cut off itself has a
+/// change in force within the bound.
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+
+#include "control_cluster.h"
+#include "is_caught.h"
+
+namespace gorsevalve {
+namespace {
+
+using std::chrono::milliseconds;
+using namespace control_cluster;
+
+constexpr Duration kTurn = milliseconds(20);
+constexpr Duration kRunTime = std::chrono::seconds(40);
+/// Bound within which a change must be in force.
+constexpr Duration kInForceWithin = std::chrono::seconds(3);
+/// As FrameNetwork gives up a connection without an answer.
+constexpr Duration kGivenUpAfter = milliseconds(1500);
+constexpr std::uint32_t kReplicas = 3;
+constexpr std::uint32_t kBalancers = 4;
+constexpr std::uint32_t kFirstBalancer = 100;
+
+struct FollowingFaults {
+  ControlFaults control;
+  ControlClientFaults client;
+};
+
+/// A connection between a balancer and a replica. A new one works, unless the balancer is cut off.
+struct Link {
+  bool is_open = false;
+  bool is_silent_up = false;
+  bool is_silent_down = false;
+  /// When each end first sent something after which nothing came.
+  std::optional<Instant> replica_unanswered_since;
+  std::optional<Instant> balancer_unanswered_since;
+};
+
+bool is_given_up(const std::optional<Instant>& unanswered_since, Instant now) {
+  return unanswered_since && now - *unanswered_since > kGivenUpAfter;
+}
+
+class Workload;
+
+/// One balancer with its links.
+class LinkedBalancer : public ControlClientOutput {
+ public:
+  LinkedBalancer(Workload& workload, std::uint32_t number, const ControlClientFaults& faults);
+
+  void on_tick(Instant now);
+  /// From a replica; false when it knows that it was dropped.
+  bool receive(std::uint32_t replica, const NodeMessage& message, Instant now);
+  void deliver(Instant now);
+
+  void send_control(const Endpoint& replica, const NodeMessage& message) override;
+  void on_fleet(const FleetState& /*fleet*/, Instant /*now*/) override {}
+  void on_lease(Instant /*until*/) override {}
+  void on_expelled(Instant /*now*/) override {}
+  void on_replica_silent(const Endpoint& replica) override { links[replica.address] = {}; }
+  std::vector<TargetObservation> take_observations() override;
+
+  [[nodiscard]] Revision revision() const { return client_.fleet().revision; }
+
+  std::array<Link, kReplicas + 1> links;
+  bool is_cut_up = false;
+  bool is_cut_down = false;
+  /// When something was done to it last.
+  Instant disturbed_at;
+
+ private:
+  Workload& workload_;
+  Endpoint address_;
+  ControlClient client_;
+  std::vector<std::pair<std::uint32_t, NodeMessage>> arriving_;
+};
+
+class Workload {
+ public:
+  Workload(std::uint64_t seed, const FollowingFaults& faults) : random(seed) {
+    for (std::uint32_t i = 1; i <= kReplicas; ++i) {
+      cluster.node(i).set_faults(faults.control);
+      cluster.output(i).to_balancer = [this, i](const Endpoint& to, const NodeMessage& message) {
+        return balancers_[to.address - kFirstBalancer]->receive(i, message, cluster.now());
+      };
+    }
+    for (std::uint32_t i = 0; i < kBalancers; ++i) {
+      balancers_.push_back(std::make_unique<LinkedBalancer>(*this, i, faults.client));
+    }
+  }
+
+  /// The first violation; empty when there is none.
+  std::string run() {
+    const Instant end = cluster.now() + kRunTime;
+    while (cluster.now() < end && violation_.empty()) {
+      change();
+      harm();
+      for (auto& balancer : balancers_) {
+        balancer->on_tick(cluster.now());
+      }
+      cluster.run(kTurn);
+      for (auto& balancer : balancers_) {
+        balancer->deliver(cluster.now());
+      }
+      check();
+    }
+    return violation_;
+  }
+
+  std::uint64_t below(std::uint64_t bound) { return random() % bound; }
+
+  Cluster cluster;
+  std::mt19937_64 random;
+
+ private:
+  void change() {
+    const std::uint32_t leader = cluster.leader();
+    if (leader == 0) {
+      return;
+    }
+    const FleetState& fleet = cluster.node(leader).state().fleet();
+    if (fleet.revision > newest_) {
+      newest_ = fleet.revision;
+      committed_[newest_] = cluster.now();
+    }
+    if (below(10) == 0) {
+      register_target(cluster.node(leader), 1000 + ++changes_, cluster.now());
+    }
+  }
+
+  void harm() {
+    if (cluster.now() >= thawed_at_) {
+      cluster.frozen = 0;
+    }
+    for (auto& balancer : balancers_) {
+      if (cluster.now() >= healed_at_ && (balancer->is_cut_up || balancer->is_cut_down)) {
+        balancer->is_cut_up = false;
+        balancer->is_cut_down = false;
+        balancer->disturbed_at = cluster.now();
+      }
+    }
+    if (below(75) != 0) {
+      return;
+    }
+    switch (below(5)) {
+      case 0:
+        freeze();
+        break;
+      case 1:
+        cut();
+        break;
+      case 2:
+        reset();
+        break;
+      default:
+        silence();
+        break;
+    }
+  }
+
+  void freeze() {
+    if (cluster.frozen == 0) {
+      cluster.frozen = static_cast<std::uint32_t>(1 + below(kReplicas));
+      thawed_at_ = cluster.now() + milliseconds(200 + below(3000));
+    }
+  }
+
+  void cut() {
+    LinkedBalancer& balancer = *balancers_[below(kBalancers)];
+    const std::uint64_t ways = 1 + below(3);
+    balancer.is_cut_up = (ways & 1U) != 0;
+    balancer.is_cut_down = (ways & 2U) != 0;
+    balancer.disturbed_at = Instant::max();
+    healed_at_ = cluster.now() + milliseconds(500 + below(4000));
+  }
+
+  void reset() {
+    const std::uint64_t replica = 1 + below(kReplicas);
+    for (auto& balancer : balancers_) {
+      balancer->links[replica] = {};
+    }
+  }
+
+  void silence() {
+    const std::uint64_t ways = 1 + below(3);
+    for (auto& balancer : balancers_) {
+      for (auto& link : balancer->links) {
+        const bool is_meant = link.is_open && below(2) == 0;
+        link.is_silent_up = link.is_silent_up || (is_meant && (ways & 1U) != 0);
+        link.is_silent_down = link.is_silent_down || (is_meant && (ways & 2U) != 0);
+      }
+    }
+  }
+
+  void check() {
+    for (std::uint32_t i = 0; i < kBalancers; ++i) {
+      const LinkedBalancer& balancer = *balancers_[i];
+      const auto missing = committed_.upper_bound(balancer.revision());
+      if (missing == committed_.end() || balancer.disturbed_at == Instant::max()) {
+        continue;
+      }
+      const Duration behind = cluster.now() - std::max(missing->second, balancer.disturbed_at);
+      if (behind > kInForceWithin) {
+        violation_ = "balancer " + std::to_string(i) + " lacks revision " +
+                     std::to_string(missing->first) + " for " + std::to_string(behind.count()) +
+                     " us";
+      }
+    }
+  }
+
+  std::vector<std::unique_ptr<LinkedBalancer>> balancers_;
+  /// When each revision was first seen to be committed.
+  std::map<Revision, Instant> committed_;
+  Revision newest_ = 0;
+  TargetId changes_ = 0;
+  Instant thawed_at_;
+  Instant healed_at_;
+  std::string violation_;
+};
+
+LinkedBalancer::LinkedBalancer(Workload& workload, std::uint32_t number,
+                               const ControlClientFaults& faults)
+    : disturbed_at(kStart),
+      workload_(workload),
+      address_{kFirstBalancer + number, 6000},
+      client_({"b", "z", address_, 42 + number, MemberState::kObserver},
+              {{1, 7000}, {2, 7000}, {3, 7000}}, {}, *this) {
+  client_.set_timing({milliseconds(500), milliseconds(800), milliseconds(100)});
+  client_.set_faults(faults);
+}
+
+void LinkedBalancer::on_tick(Instant now) { client_.on_tick(0, now); }
+
+void LinkedBalancer::send_control(const Endpoint& replica, const NodeMessage& message) {
+  const Instant now = workload_.cluster.now();
+  Link& link = links[replica.address];
+  if (!link.is_open || is_given_up(link.balancer_unanswered_since, now)) {
+    link = {};
+    link.is_open = true;
+  }
+  link.balancer_unanswered_since = link.balancer_unanswered_since.value_or(now);
+  if (is_cut_up || link.is_silent_up || replica.address == workload_.cluster.frozen) {
+    return;
+  }
+  link.replica_unanswered_since.reset();
+  workload_.cluster.node(replica.address).on_node_message(address_, message, now);
+}
+
+bool LinkedBalancer::receive(std::uint32_t replica, const NodeMessage& message, Instant now) {
+  Link& link = links[replica];
+  if (is_given_up(link.replica_unanswered_since, now)) {
+    link = {};
+  }
+  if (!link.is_open) {
+    return false;
+  }
+  link.replica_unanswered_since = link.replica_unanswered_since.value_or(now);
+  if (!is_cut_down && !link.is_silent_down) {
+    arriving_.emplace_back(replica, message);
+  }
+  return true;
+}
+
+void LinkedBalancer::deliver(Instant now) {
+  for (const auto& [replica, message] : std::exchange(arriving_, {})) {
+    links[replica].balancer_unanswered_since.reset();
+    client_.on_message({replica, 7000}, message, now);
+  }
+}
+
+std::vector<TargetObservation> LinkedBalancer::take_observations() {
+  const auto& targets = client_.fleet().steering.targets;
+  if (targets.empty() || workload_.below(2) == 0) {
+    return {};
+  }
+  return {{targets[workload_.below(targets.size())].token, 0, 0, 1, 1, 0}};
+}
+
+}  // namespace
+
+TEST_SUITE("following_workload") {
+  TEST_CASE(
+      "every balancer that is not cut off has each change in force in time, over many seeds") {
+    for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+      const std::string violation = Workload(seed, {}).run();
+      CHECK_MESSAGE(violation.empty(), "seed ", seed, ": ", violation);
+    }
+  }
+
+  TEST_CASE("the two deliberate faults together are caught") {
+    // Each alone is made good by the other end: that is what both are for.
+    FollowingFaults faults;
+    faults.control.trust_own_sends = true;
+    faults.client.trust_any_message = true;
+    CHECK(is_caught<Workload>(faults));
+  }
+}
+
+}  // namespace gorsevalve
--- a/tests/unit/control_cluster.h
+++ b/tests/unit/control_cluster.h
@@ -5,6 +5,7 @@
 #include <doctest/doctest.h>
 
 #include <array>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <utility>
@@ -39,13 +40,19 @@
     bool has_no_balancer = false;
     /// What this replica reports to others is lost, and that is not known.
     bool loses_reports = false;
+    /// Carries what goes to balancers in place of `to_nodes`; false when it is dropped for certain.
+    std::function<bool(const Endpoint& to, const NodeMessage& message)> to_balancer;
     void send(const Endpoint& to, const ReplicaMessage& message) override {
       cluster->queue_.push_back({to.address, message, {}, self});
     }
     bool send_node(const Endpoint& to, const NodeMessage& message) override {
-      if (has_no_balancer && to.address > 3) {
+      const bool is_to_balancer = to.address > 3;
+      if (is_to_balancer && has_no_balancer) {
         return false;
       }
+      if (is_to_balancer && to_balancer) {
+        return to_balancer(to, message);
+      }
       if (loses_reports && std::holds_alternative<ReplicaReport>(message)) {
         return true;
       }
@@ -72,7 +79,9 @@
   void run(Duration time) {
     for (const Instant end = now_ + time; now_ < end; now_ += milliseconds(20)) {
       for (std::uint32_t i = 1; i <= 3; ++i) {
-        nodes_[i]->on_tick(now_);
+        if (i != frozen) {
+          nodes_[i]->on_tick(now_);
+        }
       }
       deliver();
     }
@@ -80,7 +89,7 @@
 
   [[nodiscard]] std::uint32_t leader() const {
     for (std::uint32_t i = 1; i <= 3; ++i) {
-      if (nodes_[i]->replica().has_lease(now_)) {
+      if (i != frozen && nodes_[i]->replica().has_lease(now_)) {
         return i;
       }
     }
@@ -91,6 +100,9 @@
   Output& output(std::uint32_t i) { return outputs_[i]; }
   [[nodiscard]] Instant now() const { return now_; }
 
+  /// A process that stands still, and what is sent to it is lost; 0 for none.
+  std::uint32_t frozen = 0;
+
  private:
   struct Letter {
     std::uint32_t to = 0;
@@ -102,7 +114,7 @@
   void deliver() {
     for (int round = 0; round < 10; ++round) {
       for (const auto& letter : std::exchange(queue_, {})) {
-        if (letter.to < 1 || letter.to > 3) {
+        if (letter.to < 1 || letter.to > 3 || letter.to == frozen) {
           continue;
         }
         const Endpoint from{static_cast<std::uint32_t>(letter.from), 7000};
--- a/tests/unit/test_following.cc
+++ b/tests/unit/test_following.cc
@@ -48,6 +48,15 @@
     return take_updates(cluster_, replica_);
   }
 
+  /// Asks without wanting updates: whether the replica says that it is current.
+  bool is_told_current() {
+    heartbeat.wants_update = false;
+    cluster_.output(replica_).to_nodes.clear();
+    node().on_node_message(heartbeat.member.address, heartbeat, cluster_.now());
+    REQUIRE(cluster_.output(replica_).to_nodes.size() == 1);
+    return std::get<HeartbeatReply>(cluster_.output(replica_).to_nodes[0].second).is_current;
+  }
+
   NodeHeartbeat heartbeat;
 
  private:
@@ -153,17 +162,11 @@
     balancer.catch_up();
     for (const Revision ahead : {0, 1}) {
       balancer.heartbeat.revision += ahead;
-      balancer.heartbeat.wants_update = false;
-      cluster.output(cluster.leading).to_nodes.clear();
-      cluster.node(cluster.leading)
-          .on_node_message(balancer.heartbeat.member.address, balancer.heartbeat, cluster.now());
-      REQUIRE(cluster.output(cluster.leading).to_nodes.size() == 1);
-      const auto& answer = cluster.output(cluster.leading).to_nodes[0].second;
-      CHECK(std::get<HeartbeatReply>(answer).is_current == (ahead == 0));
+      CHECK(balancer.is_told_current() == (ahead == 0));
     }
   }
 
-  TEST_CASE("a follower whose reports do not reach the leader does not answer targets") {
+  TEST_CASE("a follower whose reports do not reach the leader answers no targets and members") {
     // The leader would take a target for silent that a follower tells that all is well.
     RunningCluster cluster;
     const std::uint32_t follower = cluster.leading == 1 ? 2 : 1;
@@ -181,6 +184,12 @@
     cluster.output(follower).loses_reports = true;
     run_while_leader_hears(4);
     CHECK(hear(4) == AnnouncementStatus::kNotLeader);
+    // A member would stay there without a lease; an observer needs the state only.
+    for (const MemberState state : {MemberState::kActive, MemberState::kObserver}) {
+      HandMadeBalancer balancer(cluster, follower);
+      balancer.heartbeat.member.state = state;
+      CHECK(balancer.is_told_current() == (state == MemberState::kObserver));
+    }
     cluster.output(follower).loses_reports = false;
     run_while_leader_hears(2);
     CHECK(hear(5) == AnnouncementStatus::kHeld);
