Spare a balancer that is ahead a whole state, and tell it when its replica has caught up

Found by reading the mend again: a balancer that comes from a replica that is one entry further left the progress at nothing, so the next change would have gone as a whole state; and it was forgotten by those that a replica promised to tell.

Now it counts as lacking nothing up to what it has, and is told once the replica holds as much. An update that no connection took forgets the balancer at once.

--- a/src/core/control/control_node.cc
+++ b/src/core/control/control_node.cc
@@ -92,11 +92,15 @@
   if (waiting_nodes_.empty() || !replica_->is_current(now)) {
     return;
   }
-  for (const auto& [address, waiting] : std::exchange(waiting_nodes_, {})) {
-    if (now - waiting.at < kWaitingMemory) {
-      output_.send_node(address, reply_to(waiting.heartbeat, now));
+  std::erase_if(waiting_nodes_, [&](const auto& one) {
+    const auto& [address, waiting] = one;
+    const HeartbeatReply reply = reply_to(waiting.heartbeat, now);
+    // Not yet for a balancer that holds more, or for a member whose report has no answer.
+    if (reply.is_current) {
+      output_.send_node(address, reply);
     }
-  }
+    return reply.is_current;
+  });
 }
 
 void ControlNode::handle(const Endpoint& from, const NodeHeartbeat& heartbeat, Instant now) {
@@ -136,8 +140,10 @@
   const Revision revision = state_.fleet().revision;
   UpdateProgress& progress = updates_[from];
   progress.on_heartbeat(heartbeat, now);
-  if (heartbeat.revision == revision && heartbeat.digest == state_.digest()) {
-    progress.on_in_force(revision);
+  const bool is_same = heartbeat.revision == revision && heartbeat.digest == state_.digest();
+  const bool is_ahead = heartbeat.revision > revision && !faults_.send_older_revisions;
+  if (is_same || is_ahead) {
+    progress.on_in_force(heartbeat.revision);
     return;
   }
   const bool is_under_way = progress.is_under_way(revision, now) && !heartbeat.has_gap;
@@ -149,15 +155,14 @@
     }
     if (send_update(from, heartbeat.revision, heartbeat.digest)) {
       progress.on_repaired(revision, now);
+    } else {
+      updates_.erase(from);
     }
   }
 }
 
 bool ControlNode::send_update(const Endpoint& to, Revision revision, std::uint64_t digest) {
   const FleetState& fleet = state_.fleet();
-  if (revision > fleet.revision && !faults_.send_older_revisions) {
-    return false;
-  }
   // A node whose state differs at the same revision gets all of it.
   const bool whole = revision == 0 || revision > fleet.revision ||
                      (revision == fleet.revision && digest != state_.digest());
--- a/src/core/control/update_progress.h
+++ b/src/core/control/update_progress.h
@@ -25,7 +25,8 @@
   void on_pushed(Revision revision, Instant now);
   /// All that the balancer lacks up to this revision was sent, whatever was sent before.
   void on_repaired(Revision revision, Instant now);
-  /// The balancer has this revision in force, so nothing is under way.
+  /// The balancer has this revision in force, and lacks nothing that is held here: nothing is under
+  /// way. It may be ahead.
   void on_in_force(Revision revision);
 
   /// Latest revision that was sent; 0 for none.
--- a/tests/unit/test_following.cc
+++ b/tests/unit/test_following.cc
@@ -166,6 +166,48 @@
     }
   }
 
+  TEST_CASE("a balancer that is ahead of its replica gets changes from where it is") {
+    // It came from a replica that was one entry further: a whole state would be sent for nothing.
+    RunningCluster cluster;
+    HandMadeBalancer balancer(cluster, cluster.leading);
+    balancer.catch_up();
+    const Revision held = balancer.heartbeat.revision;
+    ++balancer.heartbeat.revision;
+    CHECK(balancer.ask() == 0);
+    cluster.change(6);
+    cluster.run(milliseconds(40));
+    REQUIRE(cluster.node(cluster.leading).state().fleet().revision == held + 1);
+    CHECK(take_updates(cluster, cluster.leading) == 0);
+    cluster.change(7);
+    cluster.run(milliseconds(40));
+    std::vector<FleetUpdate> updates;
+    for (const auto& [to, message] : cluster.output(cluster.leading).to_nodes) {
+      if (const auto* update = std::get_if<FleetUpdate>(&message)) {
+        updates.push_back(*update);
+      }
+    }
+    REQUIRE(updates.size() == 1);
+    CHECK_FALSE(updates[0].is_whole);
+    CHECK(updates[0].deltas.front().base == held + 1);
+  }
+
+  TEST_CASE("a balancer that was ahead is told when its replica has caught up") {
+    RunningCluster cluster;
+    HandMadeBalancer balancer(cluster, cluster.leading);
+    balancer.catch_up();
+    ++balancer.heartbeat.revision;
+    CHECK_FALSE(balancer.is_told_current());
+    cluster.output(cluster.leading).to_nodes.clear();
+    cluster.change(6);
+    cluster.run(milliseconds(40));
+    int told = 0;
+    for (const auto& [to, message] : cluster.output(cluster.leading).to_nodes) {
+      const auto* reply = std::get_if<HeartbeatReply>(&message);
+      told += reply != nullptr && reply->is_current && to == balancer.heartbeat.member.address;
+    }
+    CHECK(told == 1);
+  }
+
   TEST_CASE("a follower whose reports do not reach the leader answers no targets and members") {
     // The leader would take a target for silent that a follower tells that all is well.
     RunningCluster cluster;
