Serving updates to balancers becomes a class of its own; members' balancers log whom they follow

Code moved, no behaviour changes.

Balancers that are members write replica_chosen, replica_silent, revisions_behind and update_refused as steering ones do (one set of functions), and drop the connection to a silent replica, too.

Unit tests and following_workload pass.

--- a/src/core/control/control_node.cc
+++ b/src/core/control/control_node.cc
@@ -1,7 +1,6 @@
 #include "core/control/control_node.h"
 
 #include <algorithm>
-#include <iterator>
 #include <utility>
 
 #include "codec/archive.h"
@@ -12,9 +11,6 @@
 
 constexpr std::size_t kReportsRemembered = 16;
 constexpr Duration kNodeMemory = std::chrono::seconds(60);
-/// Updates that are kept for other balancers, by the revisions that these have: more than differ
-/// between balancers that are all in touch.
-constexpr std::size_t kSharedUpdates = 16;
 /// A balancer that waits to hear that this replica is current asks again within this time.
 constexpr Duration kWaitingMemory = std::chrono::seconds(2);
 /// A follower whose reports no leader confirmed for this long answers neither targets nor members:
@@ -39,12 +35,13 @@
       output_(output),
       replica_(std::make_unique<Replica>(std::move(config), std::move(first_replicas),
                                          std::move(stored), storage, output, state_, now)),
+      publisher_(state_, nodes_, output_),
       // Replies to reports of an earlier life at this address match none of this one.
       report_sequence_(config_.random_seed) {}
 
 void ControlNode::on_replica_message(const ReplicaMessage& message, Instant now) {
   replica_->on_message(message, now);
-  push_updates(now);
+  publisher_.push(now);
   tell_waiting(now);
 }
 
@@ -115,123 +112,7 @@
     waiting = {heartbeat, now};
     waiting.heartbeat.observations.clear();
   }
-  serve(from, heartbeat, now);
-}
-
-bool ControlNode::is_followed_by(const Endpoint& address, Instant now) const {
-  const NodeEntry* entry = nodes_.find(address);
-  return entry != nullptr && entry->is_local &&
-         now - entry->heard_at < control_timing::kMemberTimeout;
-}
-
-void ControlNode::serve(const Endpoint& from, const NodeHeartbeat& heartbeat, Instant now) {
-  const auto known = updates_.find(from);
-  if (known != updates_.end() && known->second.is_overtaken(heartbeat)) {
-    return;
-  }
-  if (!heartbeat.wants_update) {
-    // It follows another replica or looks for one. Pushes would find no connection after a while,
-    // and would count as sent when it comes back.
-    if (!faults_.trust_own_sends) {
-      updates_.erase(from);
-    }
-    return;
-  }
-  const Revision revision = state_.fleet().revision;
-  UpdateProgress& progress = updates_[from];
-  progress.on_heartbeat(heartbeat, now);
-  const bool is_same = heartbeat.revision == revision && heartbeat.digest == state_.digest();
-  const bool is_ahead = heartbeat.revision > revision && !faults_.send_older_revisions;
-  if (is_same || is_ahead) {
-    progress.on_in_force(heartbeat.revision);
-    return;
-  }
-  const bool is_under_way = progress.is_under_way(revision, now) && !heartbeat.has_gap;
-  const bool counts_as_sent = faults_.trust_own_sends && progress.sent() == revision;
-  const bool may_arrive = heartbeat.revision < revision && (is_under_way || counts_as_sent);
-  if (!may_arrive) {
-    if (progress.sent() > heartbeat.revision) {
-      output_.on_update_repeated({from, heartbeat.revision, progress.sent(), heartbeat.has_gap});
-    }
-    if (send_update(from, heartbeat.revision, heartbeat.digest)) {
-      progress.on_repaired(revision, now);
-    } else {
-      updates_.erase(from);
-    }
-  }
-}
-
-bool ControlNode::send_update(const Endpoint& to, Revision revision, std::uint64_t digest) {
-  const FleetState& fleet = state_.fleet();
-  // A node whose state differs at the same revision gets all of it.
-  const bool whole = revision == 0 || revision > fleet.revision ||
-                     (revision == fleet.revision && digest != state_.digest());
-  return output_.send_shared(to, update_from(revision, whole));
-}
-
-std::optional<FleetUpdate> ControlNode::changes_after(Revision revision) const {
-  FleetUpdate update;
-  update.digest = state_.digest();
-  for (Revision at = revision; at != state_.fleet().revision;) {
-    const FleetDelta* delta = state_.delta_after(at);
-    if (delta == nullptr) {
-      return std::nullopt;
-    }
-    update.deltas.push_back(*delta);
-    at = delta->revision;
-  }
-  return update;
-}
-
-SharedNodeMessage ControlNode::update_from(Revision revision, bool whole) {
-  const FleetState& fleet = state_.fleet();
-  if (shared_revision_ != fleet.revision || shared_updates_.size() > kSharedUpdates) {
-    shared_updates_.clear();
-    shared_revision_ = fleet.revision;
-  }
-  const auto known = shared_updates_.find(whole ? 0 : revision);
-  if (known != shared_updates_.end()) {
-    return known->second;
-  }
-  std::optional<FleetUpdate> changes = whole ? std::nullopt : changes_after(revision);
-  SharedNodeMessage& shared = shared_updates_[changes ? revision : 0];
-  if (changes) {
-    shared = std::make_shared<const NodeMessage>(std::move(*changes));
-  } else if (shared == nullptr) {
-    FleetUpdate update;
-    update.digest = state_.digest();
-    update.is_whole = true;
-    update.whole = fleet;
-    shared = std::make_shared<const NodeMessage>(std::move(update));
-  }
-  return shared;
-}
-
-void ControlNode::push_updates(Instant now) {
-  const Revision revision = state_.fleet().revision;
-  if (revision == pushed_revision_) {
-    return;
-  }
-  pushed_revision_ = revision;
-  for (auto one = updates_.begin(); one != updates_.end();) {
-    const bool is_here = push_to(one->first, one->second, now);
-    one = is_here ? std::next(one) : updates_.erase(one);
-  }
-}
-
-bool ControlNode::push_to(const Endpoint& address, UpdateProgress& progress, Instant now) {
-  const Revision revision = state_.fleet().revision;
-  if (progress.sent() >= revision) {
-    return true;
-  }
-  if (!is_followed_by(address, now)) {
-    return false;
-  }
-  if (!send_update(address, progress.sent(), 0) && !faults_.trust_own_sends) {
-    return false;
-  }
-  progress.on_pushed(revision, now);
-  return true;
+  publisher_.on_heartbeat(from, heartbeat, now);
 }
 
 void ControlNode::handle(const Endpoint& /*from*/, const HeartbeatReply& /*reply*/,
@@ -275,9 +156,7 @@
       }
     }
   }
-  for (const auto& [address, progress] : updates_) {
-    output_.send_shared(address, shared);
-  }
+  publisher_.send_to_all(shared);
 }
 
 std::optional<TargetFigures> ControlNode::figures_after(std::uint64_t edition) const {
@@ -378,7 +257,7 @@
 
 std::optional<Proposal> ControlNode::propose_entry(EntryType type, Bytes payload, Instant now) {
   const auto index = replica_->propose(type, std::move(payload), now);
-  push_updates(now);
+  publisher_.push(now);
   return index ? std::optional(Proposal{*index, replica_->term()}) : std::nullopt;
 }
 
@@ -437,8 +316,8 @@
     report_to_leader(now);
   }
   nodes_.drop_older(now, kNodeMemory);
-  std::erase_if(updates_, [&](const auto& one) { return !is_followed_by(one.first, now); });
-  push_updates(now);
+  publisher_.drop_silent(now);
+  publisher_.push(now);
   tell_waiting(now);
   std::erase_if(waiting_nodes_,
                 [&](const auto& one) { return now - one.second.at >= kWaitingMemory; });
@@ -461,7 +340,7 @@
     known.outcome = {id, true, replica_->last_index(), id};
     return known;
   }
-  push_updates(now);
+  publisher_.push(now);
   return outcome(id, now);
 }
 
--- a/src/core/control/control_node.h
+++ b/src/core/control/control_node.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <string>
 
+#include "core/control/control_output.h"
 #include "core/control/control_state.h"
 #include "core/control/figure_board.h"
 #include "core/control/membership.h"
@@ -15,44 +16,10 @@
 #include "core/control/node_registry.h"
 #include "core/control/registration_monitor.h"
 #include "core/control/replica.h"
-#include "core/control/update_progress.h"
+#include "core/control/update_publisher.h"
 
 namespace gorsevalve {
 
-/// A message that goes to many balancers.
-using SharedNodeMessage = std::shared_ptr<const NodeMessage>;
-
-/// A balancer did not confirm what was sent to it, so it is sent again.
-struct RepeatedUpdate {
-  Endpoint balancer;
-  /// What the balancer has in force, and what was sent to it.
-  Revision confirmed = 0;
-  Revision sent = 0;
-  /// The balancer said that an update before the ones that it got is missing.
-  bool has_gap = false;
-};
-
-/// What a control process sends about the fleet.
-class ControlOutput : public ReplicaOutput {
- public:
-  /// To a balancer, or to another replica, by its address. False when the message was dropped for
-  /// certain; true promises nothing.
-  virtual bool send_node(const Endpoint& to, const NodeMessage& message) = 0;
-  /// The same for a message that goes to many, which need be encoded once only.
-  virtual bool send_shared(const Endpoint& to, const SharedNodeMessage& message) {
-    return send_node(to, *message);
-  }
-  virtual void on_update_repeated(const RepeatedUpdate& /*repeated*/) {}
-};
-
-/// Deliberate faults, for the test that shows that the checkers can fail. All off in programs.
-struct ControlFaults {
-  bool accept_before_commit = false;
-  bool send_older_revisions = false;
-  /// What was handed to the network counts as under way, whatever the balancer says.
-  bool trust_own_sends = false;
-};
-
 /// Answer to a submission or a read.
 enum class ControlStatus : std::uint8_t {
   kOk = 0,
@@ -143,11 +110,14 @@
   [[nodiscard]] const ControlState& state() const { return state_; }
   [[nodiscard]] const NodeRegistry& nodes() const { return nodes_; }
   /// How many balancers get updates from this replica.
-  [[nodiscard]] std::size_t balancers_served() const { return updates_.size(); }
+  [[nodiscard]] std::size_t balancers_served() const { return publisher_.followers(); }
   /// What balancers are told of targets.
   [[nodiscard]] const TargetFigures& figures() const { return figures_; }
 
-  void set_faults(const ControlFaults& faults) { faults_ = faults; }
+  void set_faults(const ControlFaults& faults) {
+    faults_ = faults;
+    publisher_.set_faults(faults);
+  }
 
  private:
   void handle(const Endpoint& from, const NodeHeartbeat& heartbeat, Instant now);
@@ -159,20 +129,6 @@
   [[nodiscard]] HeartbeatReply reply_to(const NodeHeartbeat& heartbeat, Instant now) const;
   /// Tells balancers that were answered by a replica that was not current that it is now.
   void tell_waiting(Instant now);
-  /// Sends what follows a revision; false when it was dropped for certain.
-  bool send_update(const Endpoint& to, Revision revision, std::uint64_t digest);
-  /// Updates a balancer that follows this replica, by what it says that it has.
-  void serve(const Endpoint& from, const NodeHeartbeat& heartbeat, Instant now);
-  /// True while the balancer counts as following this replica.
-  [[nodiscard]] bool is_followed_by(const Endpoint& address, Instant now) const;
-  /// The changes after a revision; nothing when they are not known any more.
-  [[nodiscard]] std::optional<FleetUpdate> changes_after(Revision revision) const;
-  /// The update that takes a balancer from a revision, or from nothing, to the present one.
-  SharedNodeMessage update_from(Revision revision, bool whole);
-  void push_updates(Instant now);
-  /// Sends one balancer what it was not sent yet; false when it has no connection, or was not heard
-  /// for long, so that it does not follow this replica any more. It asks when it comes back.
-  bool push_to(const Endpoint& address, UpdateProgress& progress, Instant now);
   void report_to_leader(Instant now);
   void lead(Instant now);
   void lead_registrations(Instant now);
@@ -194,6 +150,7 @@
   ControlOutput& output_;
   std::unique_ptr<Replica> replica_;
   NodeRegistry nodes_;
+  UpdatePublisher publisher_;
   MembershipController membership_;
   RegistrationMonitor registrations_{RegistrationTiming{}};
   Instant next_conclusion_;
@@ -209,12 +166,6 @@
     Instant at;
   };
   std::map<Endpoint, WaitingNode> waiting_nodes_;
-  /// Updates of the balancers that follow this replica.
-  std::map<Endpoint, UpdateProgress> updates_;
-  Revision pushed_revision_ = 0;
-  /// Updates to the present revision by the revision that they follow; 0 for the whole state.
-  std::map<Revision, SharedNodeMessage> shared_updates_;
-  Revision shared_revision_ = 0;
   Instant reported_at_;
   std::uint64_t report_sequence_;
   std::map<std::uint64_t, Instant> reports_sent_;
--- /dev/null
+++ b/src/core/control/update_publisher.cc
@@ -0,0 +1,153 @@
+#include "core/control/update_publisher.h"
+
+#include <iterator>
+#include <utility>
+
+#include "core/control/timing.h"
+
+namespace gorsevalve {
+namespace {
+
+/// Updates that are kept for other balancers, by the revisions that these have: more than differ
+/// between balancers that are all in touch.
+constexpr std::size_t kSharedUpdates = 16;
+
+}  // namespace
+
+UpdatePublisher::UpdatePublisher(const ControlState& state, const NodeRegistry& nodes,
+                                 ControlOutput& output)
+    : state_(state), nodes_(nodes), output_(output) {}
+
+bool UpdatePublisher::is_followed_by(const Endpoint& address, Instant now) const {
+  const NodeEntry* entry = nodes_.find(address);
+  return entry != nullptr && entry->is_local &&
+         now - entry->heard_at < control_timing::kMemberTimeout;
+}
+
+void UpdatePublisher::on_heartbeat(const Endpoint& from, const NodeHeartbeat& heartbeat,
+                                   Instant now) {
+  const auto known = followers_.find(from);
+  if (known != followers_.end() && known->second.is_overtaken(heartbeat)) {
+    return;
+  }
+  if (!heartbeat.wants_update) {
+    // It follows another replica or looks for one. Pushes would find no connection after a while,
+    // and would count as sent when it comes back.
+    if (!faults_.trust_own_sends) {
+      followers_.erase(from);
+    }
+    return;
+  }
+  const Revision revision = state_.fleet().revision;
+  UpdateProgress& progress = followers_[from];
+  progress.on_heartbeat(heartbeat, now);
+  const bool is_same = heartbeat.revision == revision && heartbeat.digest == state_.digest();
+  const bool is_ahead = heartbeat.revision > revision && !faults_.send_older_revisions;
+  if (is_same || is_ahead) {
+    progress.on_in_force(heartbeat.revision);
+    return;
+  }
+  const bool is_under_way = progress.is_under_way(revision, now) && !heartbeat.has_gap;
+  const bool counts_as_sent = faults_.trust_own_sends && progress.sent() == revision;
+  const bool may_arrive = heartbeat.revision < revision && (is_under_way || counts_as_sent);
+  if (!may_arrive) {
+    answer(from, heartbeat, progress, now);
+  }
+}
+
+void UpdatePublisher::answer(const Endpoint& to, const NodeHeartbeat& heartbeat,
+                             UpdateProgress& progress, Instant now) {
+  if (progress.sent() > heartbeat.revision) {
+    output_.on_update_repeated({to, heartbeat.revision, progress.sent(), heartbeat.has_gap});
+  }
+  if (send_update(to, heartbeat.revision, heartbeat.digest)) {
+    progress.on_repaired(state_.fleet().revision, now);
+  } else {
+    followers_.erase(to);
+  }
+}
+
+bool UpdatePublisher::send_update(const Endpoint& to, Revision revision, std::uint64_t digest) {
+  const FleetState& fleet = state_.fleet();
+  // A node whose state differs at the same revision gets all of it.
+  const bool whole = revision == 0 || revision > fleet.revision ||
+                     (revision == fleet.revision && digest != state_.digest());
+  return output_.send_shared(to, update_from(revision, whole));
+}
+
+std::optional<FleetUpdate> UpdatePublisher::changes_after(Revision revision) const {
+  FleetUpdate update;
+  update.digest = state_.digest();
+  for (Revision at = revision; at != state_.fleet().revision;) {
+    const FleetDelta* delta = state_.delta_after(at);
+    if (delta == nullptr) {
+      return std::nullopt;
+    }
+    update.deltas.push_back(*delta);
+    at = delta->revision;
+  }
+  return update;
+}
+
+SharedNodeMessage UpdatePublisher::update_from(Revision revision, bool whole) {
+  const FleetState& fleet = state_.fleet();
+  if (shared_revision_ != fleet.revision || shared_updates_.size() > kSharedUpdates) {
+    shared_updates_.clear();
+    shared_revision_ = fleet.revision;
+  }
+  const auto known = shared_updates_.find(whole ? 0 : revision);
+  if (known != shared_updates_.end()) {
+    return known->second;
+  }
+  std::optional<FleetUpdate> changes = whole ? std::nullopt : changes_after(revision);
+  SharedNodeMessage& shared = shared_updates_[changes ? revision : 0];
+  if (changes) {
+    shared = std::make_shared<const NodeMessage>(std::move(*changes));
+  } else if (shared == nullptr) {
+    FleetUpdate update;
+    update.digest = state_.digest();
+    update.is_whole = true;
+    update.whole = fleet;
+    shared = std::make_shared<const NodeMessage>(std::move(update));
+  }
+  return shared;
+}
+
+void UpdatePublisher::push(Instant now) {
+  const Revision revision = state_.fleet().revision;
+  if (revision == pushed_revision_) {
+    return;
+  }
+  pushed_revision_ = revision;
+  for (auto one = followers_.begin(); one != followers_.end();) {
+    const bool is_here = push_to(one->first, one->second, now);
+    one = is_here ? std::next(one) : followers_.erase(one);
+  }
+}
+
+bool UpdatePublisher::push_to(const Endpoint& address, UpdateProgress& progress, Instant now) {
+  const Revision revision = state_.fleet().revision;
+  if (progress.sent() >= revision) {
+    return true;
+  }
+  if (!is_followed_by(address, now)) {
+    return false;
+  }
+  if (!send_update(address, progress.sent(), 0) && !faults_.trust_own_sends) {
+    return false;
+  }
+  progress.on_pushed(revision, now);
+  return true;
+}
+
+void UpdatePublisher::send_to_all(const SharedNodeMessage& message) {
+  for (const auto& [address, progress] : followers_) {
+    output_.send_shared(address, message);
+  }
+}
+
+void UpdatePublisher::drop_silent(Instant now) {
+  std::erase_if(followers_, [&](const auto& one) { return !is_followed_by(one.first, now); });
+}
+
+}  // namespace gorsevalve
--- a/src/tasks/balancer_task.cc
+++ b/src/tasks/balancer_task.cc
@@ -5,6 +5,7 @@
 
 #include "codec/archive.h"
 #include "storage/log_store.h"
+#include "tasks/following_log.h"
 #include "tasks/log.h"
 #include "tasks/random_number.h"
 
@@ -181,6 +182,23 @@
   log_event(LogEvent::kExpelledAndRejoining);
 }
 
+void BalancerTask::on_replica_chosen(const Endpoint& replica, Revision held) {
+  log_replica_chosen(replica, held, control_.fleet().revision);
+}
+
+void BalancerTask::on_replica_silent(const Endpoint& replica) {
+  log_replica_silent(replica);
+  network_.drop(replica);
+}
+
+void BalancerTask::on_behind(const Endpoint& replica, Revision revisions) {
+  log_behind(replica, revisions, control_.fleet().revision);
+}
+
+void BalancerTask::on_update_refused(const RefusedUpdate& refused) {
+  log_update_refused(refused, control_.fleet().revision);
+}
+
 void BalancerTask::on_lease(Instant until) { balancer_->on_lease(until); }
 
 }  // namespace gorsevalve
--- a/src/tasks/steering_task.cc
+++ b/src/tasks/steering_task.cc
@@ -1,5 +1,6 @@
 #include "tasks/steering_task.h"
 
+#include "tasks/following_log.h"
 #include "tasks/log.h"
 
 namespace gorsevalve {
@@ -224,28 +225,21 @@
 }
 
 void SteeringTask::on_replica_silent(const Endpoint& replica) {
-  log_event(LogEvent::kReplicaSilent, {{"replica", to_string(replica)}});
+  log_replica_silent(replica);
   network_.drop(replica);
 }
 
 void SteeringTask::on_behind(const Endpoint& replica, Revision revisions) {
-  log_event(LogEvent::kRevisionsBehind, {{"replica", to_string(replica)},
-                                         {"revision", control_.fleet().revision},
-                                         {"behind", revisions}});
+  log_behind(replica, revisions, control_.fleet().revision);
 }
 
 void SteeringTask::on_replica_chosen(const Endpoint& replica, Revision held) {
-  log_event(
-      LogEvent::kReplicaChosen,
-      {{"replica", to_string(replica)}, {"held", held}, {"revision", control_.fleet().revision}});
+  log_replica_chosen(replica, held, control_.fleet().revision);
 }
 
 void SteeringTask::on_update_refused(const RefusedUpdate& refused) {
   ++counters_.updates_refused;
-  log_event(LogEvent::kUpdateRefused, {{"revision", control_.fleet().revision},
-                                       {"base", refused.base},
-                                       {"replica", to_string(refused.replica)},
-                                       {"reason", to_string(refused.reason)}});
+  log_update_refused(refused, control_.fleet().revision);
 }
 
 Duration SteeringTask::state_age(Instant now) const {
