--- a/tests/platform/soak/world.py
+++ b/tests/platform/soak/world.py
@@ -190,11 +190,19 @@
             await asyncio.sleep(0.2)
         return False
 
+    @staticmethod
+    async def end_tasks(patience=0.5):
+        """Cancels until all tasks have ended: a cancellation that meets the end of an awaited call within
+        `asyncio.wait_for` is lost, and loops that call for ever would go on."""
+        while tasks := asyncio.all_tasks() - {asyncio.current_task()}:
+            for task in tasks:
+                task.cancel()
+            await asyncio.wait(tasks, timeout=patience)
+
     async def stop(self):
-        for task in self.tasks:
-            task.cancel()
         for target in list(self.targets):
             target.end()
+        await self.end_tasks()
         for machine in self.all_machines:
             if machine.popen is not None:
                 machine.thaw()
