Soak: storms and the versions that allow a route stand once

Found in the last reading of the change: the storm from several senders stood in faults.py and in soak.py, the loop over versions that allow a frontend twice in promises.py; route_probes.py had two unused imports and bare port numbers.

Now Operator.storm_from_several and Promises.allowed_since, named ports. The same checks and bounds.

--- a/tests/platform/soak/faults.py
+++ b/tests/platform/soak/faults.py
@@ -234,11 +234,8 @@
             await asyncio.sleep(0.2)
 
     async def storm_from_several(self):
-        """Three senders at once for some seconds; one answer in five is lost."""
-        self.world.operator.loses_answers = 0.2
-        until = now() + self.random.uniform(4, 10)
-        await asyncio.gather(*(self.world.operator.send_changes(until, 1.0) for _ in range(3)))
-        self.world.operator.loses_answers = 0.0
+        """For some seconds."""
+        await self.world.operator.storm_from_several(now() + self.random.uniform(4, 10))
 
     async def race(self):
         """Two versions at once: the higher one holds."""
--- a/tests/platform/soak/operator_calls.py
+++ b/tests/platform/soak/operator_calls.py
@@ -82,6 +82,12 @@
             pause = min(2 * pause, 1.0)
         return False
 
+    async def storm_from_several(self, until, senders=3):
+        """Several senders at once, without pause; one answer in five is lost."""
+        self.loses_answers = 0.2
+        await asyncio.gather(*(self.send_changes(until, 1.0) for _ in range(senders)))
+        self.loses_answers = 0.0
+
     async def send_changes(self, until, longest_pause):
         """One of several senders at once: change after change, as long as answers come."""
         while now() < until:
--- a/tests/platform/soak/promises.py
+++ b/tests/platform/soak/promises.py
@@ -72,6 +72,10 @@
     def allowed_services(self, frontend, opened_at):
         """Services that any version allows that may be in force for a flow opened then, None for no route."""
         least = self.acknowledged_before(opened_at - APPLY) if self.in_touch(opened_at) else 0
+        return self.allowed_since(frontend, least)
+
+    def allowed_since(self, frontend, least):
+        """Services that this version or a later one allows, None for no route."""
         allowed = set()
         for version, routes in self.sent_versions.items():
             if version >= least:
@@ -127,10 +131,7 @@
             # Perhaps it knows no target yet: that is no question of the version.
             return
         least = self.acknowledged_before(sent_at - APPLY) if in_touch else 0
-        allowed = set()
-        for version, routes in self.sent_versions.items():
-            if version >= least:
-                allowed |= routes.get(frontend, {None})
+        allowed = self.allowed_since(frontend, least)
         self.counts["probes judged by time"] += 1 if in_touch and least > 0 else 0
         if (None if outcome == "refused" else outcome) not in allowed:
             self.violate("CONFIG", f"{machine} {'refused' if outcome == 'refused' else 'opened at ' + outcome} "
--- a/tests/platform/soak/route_probes.py
+++ b/tests/platform/soak/route_probes.py
@@ -2,11 +2,10 @@
 may be in force there. The platform does the same; callers of the soak use three routes that never change."""
 
 import asyncio
-import socket
 
 import packets
 from packets import RST, SYN, Packet
-from promises import APPLY, now
+from promises import now
 
 INTERVAL = 0.12
 # Opening packets of one probe.
@@ -14,6 +13,8 @@
 OPENING_TIME = 1.4
 # Routes that were dropped longer ago are not asked for any more.
 RECENT_ROUTES = 6
+FIRST_PORT = 20000
+PORTS = 40000
 
 
 class RouteProbes(asyncio.DatagramProtocol):
@@ -23,7 +24,7 @@
         self.world = world
         self.ip = ip
         self.transport = None
-        self.port = 20000
+        self.port = FIRST_PORT
         self.ends = {}
 
     async def start(self):
@@ -57,7 +58,7 @@
                 self.world.spawn(self.ask(machine, self.world.random.choice(routes)))
 
     async def ask(self, machine, frontend):
-        self.port = 20000 + (self.port - 19999) % 40000
+        self.port = FIRST_PORT + (self.port + 1 - FIRST_PORT) % PORTS
         source, port = (self.ip, self.port), self.port
         end = asyncio.get_running_loop().create_future()
         self.ends[port] = end
--- a/tests/platform/soak/soak.py
+++ b/tests/platform/soak/soak.py
@@ -56,13 +56,6 @@
         await asyncio.sleep(LONG_PAUSE if is_long else world.random.uniform(0.1, SHORT_PAUSE))
 
 
-async def keep_changing(world, until):
-    """Changes without pause from three senders, some answers lost."""
-    world.operator.loses_answers = 0.2
-    await asyncio.gather(*(world.operator.send_changes(until, 1.0) for _ in range(3)))
-    world.operator.loses_answers = 0.0
-
-
 async def keep_harming(world, faults, until):
     """One fault after the other, with pauses in which machines are in touch."""
     while now() < until - STORM_PAUSE:
@@ -77,7 +70,7 @@
 async def play_storm(world, seconds):
     faults = Faults(world)
     until = now() + seconds
-    await asyncio.gather(keep_changing(world, until), keep_harming(world, faults, until))
+    await asyncio.gather(world.operator.storm_from_several(until), keep_harming(world, faults, until))
     await last_look(world, planned_only=False)
 
 
