--- a/src/core/control/fleet_digest.cc
+++ b/src/core/control/fleet_digest.cc
@@ -119,6 +119,7 @@
   append(encode_archive(fleet.members));
   append(encode_archive(fleet.previous_members));
   append(encode_archive(fleet.steering.settings.pools));
+  append(encode_archive(fleet.steering.evacuated_zones));
   return XXH3_64bits(bytes.data(), bytes.size());
 }
 
--- a/src/core/control/steering_commands.cc
+++ b/src/core/control/steering_commands.cc
@@ -250,6 +250,9 @@
     update_sorted(settings.frontends, delta.upserted_frontends, delta.removed_frontends);
   }
   update_sorted(state.targets, delta.upserted_targets, delta.forgotten_targets);
+  if (delta.has_evacuations) {
+    state.evacuated_zones = delta.evacuated_zones;
+  }
 }
 
 }  // namespace gorsevalve
--- /dev/null
+++ b/src/core/link/link_model.h
@@ -0,0 +1,54 @@
+/// What a balancer knows of its machine's own link: how much came and went lately, and how long
+/// what was handed to it still needs to leave. A machine tells a process nothing of its link, so
+/// this is worked out from the rate in its settings. A state machine without sockets or clocks.
+#pragma once
+
+#include <cstddef>
+
+#include "model/time.h"
+
+namespace gorsevalve {
+
+class LinkModel {
+ public:
+  /// `octets_per_s` is the rate each way; 0 when it is not known: such a link is never busy.
+  explicit LinkModel(double octets_per_s) : rate_(octets_per_s) {}
+
+  /// Sizes are of datagrams with their headers, in octets.
+  void on_received(std::size_t octets, Instant now) { in_.add(octets, now, rate_); }
+  void on_sent(std::size_t octets, Instant now) { out_.add(octets, now, rate_); }
+
+  /// Octets per second each way; 0 when it is not known.
+  [[nodiscard]] double rate() const { return rate_; }
+  [[nodiscard]] bool is_known() const { return rate_ > 0; }
+  /// How long a datagram that is handed to the link now waits before it leaves.
+  [[nodiscard]] Duration send_backlog(Instant now) const { return out_.backlog(now, rate_); }
+  /// Share of the rate that was used lately, 0 to 1.
+  [[nodiscard]] double receive_use(Instant now) const { return in_.use(now, rate_); }
+  [[nodiscard]] double send_use(Instant now) const { return out_.use(now, rate_); }
+  /// True while the link is so busy that an answer may be late for want of room: silence then says
+  /// nothing of the other end.
+  [[nodiscard]] bool is_congested(Instant now) const;
+
+ private:
+  /// One direction.
+  class Direction {
+   public:
+    void add(std::size_t octets, Instant now, double rate);
+    [[nodiscard]] Duration backlog(Instant now, double rate) const;
+    [[nodiscard]] double use(Instant now, double rate) const;
+
+   private:
+    /// Octets that had not left at `at_`, as the rate has it.
+    double waiting_ = 0;
+    /// Octets of late, each losing half of its weight in kHalfLife.
+    double recent_ = 0;
+    Instant at_;
+  };
+
+  double rate_;
+  Direction in_;
+  Direction out_;
+};
+
+}  // namespace gorsevalve
--- a/src/core/steering/steering_view.cc
+++ b/src/core/steering/steering_view.cc
@@ -66,6 +66,9 @@
   FrontendView view;
   view.address = frontend.address;
   view.timeout = std::chrono::milliseconds(frontend.timeout_ms);
+  view.latency_objective = std::chrono::milliseconds(frontend.latency_objective_ms);
+  view.request_class = frontend.request_class;
+  view.priority = frontend.priority;
   for (const auto& part : frontend.pools) {
     const std::uint32_t pool = pool_index(part.pool);
     view.shares.push_back({pool, part.weight});
--- a/src/core/steering/steering_view.h
+++ b/src/core/steering/steering_view.h
@@ -26,6 +26,11 @@
   std::vector<PoolShare> shares;
   /// After this time callers give up.
   Duration timeout{0};
+  /// Within this time an answer is worth most to its caller.
+  Duration latency_objective{0};
+  RequestClass request_class = RequestClass::kRepeatable;
+  /// 0 is served first.
+  std::uint32_t priority = 0;
   /// Pools that flows of this frontend may be at: present and former ones.
   absl::flat_hash_set<std::uint32_t> reachable_pools;
 };
--- /dev/null
+++ b/src/model/steering.cc
@@ -0,0 +1,19 @@
+#include "model/steering.h"
+
+namespace gorsevalve {
+
+std::string_view to_string(RequestClass request_class) {
+  switch (request_class) {
+    case RequestClass::kRepeatable:
+      return "repeatable";
+    case RequestClass::kOnceOnly:
+      return "once_only";
+    case RequestClass::kDownload:
+      return "download";
+    case RequestClass::kUpload:
+      return "upload";
+  }
+  return "unknown";
+}
+
+}  // namespace gorsevalve
--- a/src/model/steering.h
+++ b/src/model/steering.h
@@ -5,9 +5,11 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "model/endpoint.h"
+#include "model/settings.h"
 
 namespace gorsevalve {
 
@@ -31,6 +33,21 @@
   }
 };
 
+/// What the requests of a frontend are like, as far as balancing depends on it.
+enum class RequestClass : std::uint8_t {
+  /// Short both ways; callers may send it again.
+  kRepeatable = 0,
+  /// Short both ways; runs at most once. The most careful class: unknown ones count as it.
+  kOnceOnly = 1,
+  /// The target sends much; callers may send it again.
+  kDownload = 2,
+  /// The caller sends much; runs at most once.
+  kUpload = 3,
+};
+
+/// Name of a class in logs and metrics.
+std::string_view to_string(RequestClass request_class);
+
 /// An address that callers open flows to.
 struct Frontend {
   std::string name;
@@ -40,12 +57,16 @@
   std::vector<std::string> former_pools;
   std::uint32_t timeout_ms = 0;
   std::uint32_t latency_objective_ms = 0;
+  RequestClass request_class = RequestClass::kRepeatable;
+  /// 0 is served first.
+  std::uint32_t priority = 0;
 
   friend bool operator==(const Frontend&, const Frontend&) = default;
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
     archive& name& address& pools& former_pools& timeout_ms& latency_objective_ms;
+    archive& request_class& priority;
   }
 };
 
@@ -53,12 +74,16 @@
 struct Pool {
   std::string name;
   std::uint32_t max_connections = 0;
+  /// How long a target that has just started is cold.
+  std::uint32_t warm_up_ms = 0;
+  /// New flows that one cold target takes in 1,000 s, from all balancers together; 0 for no bound.
+  std::uint32_t cold_flows_per_1000_s = 0;
 
   friend bool operator==(const Pool&, const Pool&) = default;
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive& name& max_connections;
+    archive& name& max_connections& warm_up_ms& cold_flows_per_1000_s;
   }
 };
 
@@ -112,16 +137,32 @@
   }
 };
 
-/// Everything that steering depends on. Frontends are ordered by address, targets by id.
+/// A zone whose targets get no new flows, by an operator's order.
+struct EvacuatedZone {
+  std::string zone;
+  /// When the order came into force.
+  Revision since = 0;
+
+  friend bool operator==(const EvacuatedZone&, const EvacuatedZone&) = default;
+
+  template <class Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    archive& zone& since;
+  }
+};
+
+/// Everything that steering depends on. Frontends are ordered by address, targets by id, evacuated
+/// zones by name.
 struct SteeringState {
   SteeringSettings settings;
   std::vector<RegisteredTarget> targets;
+  std::vector<EvacuatedZone> evacuated_zones;
 
   friend bool operator==(const SteeringState&, const SteeringState&) = default;
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive& settings& targets;
+    archive& settings& targets& evacuated_zones;
   }
 };
 
@@ -136,11 +177,14 @@
   std::vector<Endpoint> removed_frontends;
   std::vector<RegisteredTarget> upserted_targets;
   std::vector<TargetId> forgotten_targets;
+  /// Set when the evacuated zones changed; `evacuated_zones` then has all of them.
+  bool has_evacuations = false;
+  std::vector<EvacuatedZone> evacuated_zones;
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
     archive& has_settings& version& idle_timeout_ms& pools& upserted_frontends& removed_frontends&
-        upserted_targets& forgotten_targets;
+        upserted_targets& forgotten_targets& has_evacuations& evacuated_zones;
   }
 };
 
--- a/src/storage/log_store.h
+++ b/src/storage/log_store.h
@@ -27,8 +27,9 @@
   LogIndex committed = 0;
 };
 
-/// Version of the formats in a replica's folder. 2 added LogFrame::committed, 3 HardState::leader.
-constexpr std::uint32_t kDiskFormat = 3;
+/// Version of the formats in a replica's folder. 2 added LogFrame::committed, 3 HardState::leader,
+/// 4 the request classes of frontends, warm-up of pools and evacuated zones.
+constexpr std::uint32_t kDiskFormat = 4;
 
 /// Who the replica is. Written once.
 struct ReplicaIdentity {
--- a/src/tasks/steering_task.h
+++ b/src/tasks/steering_task.h
@@ -45,6 +45,8 @@
   std::string cluster;
   ClusterKeys keys;
   SteeringPolicy policy;
+  /// Rate of the machine's link each way, in octets per second; 0 when it is not known.
+  double link_octets_per_s = 0;
   /// How long a planned stop may take.
   Duration stop_time = std::chrono::milliseconds(5000);
 };
--- a/tests/platform/test_platform.cc
+++ b/tests/platform/test_platform.cc
@@ -53,6 +53,8 @@
 announce_interval_ms = 1200
 stop_time_s = 6
 forwarding = "echo"
+link_mbit_per_s = "2.0"
+zones = ["z","y"]
 )";
 
 }  // namespace
@@ -107,6 +109,27 @@
     CHECK(settings->frontends[0].pools[0].pool == "s1");
   }
 
+  TEST_CASE("classes of requests, priorities and warm-up are translated") {
+    std::string text = replaced(kConfiguration, R"("type":"idempotent")", R"("type":"upload")");
+    text = replaced(text, R"("tls":false})", R"("tls":false,"warmup_s":2.5,"warmup_per_s":7.5})");
+    const auto settings = parse_configuration(text);
+    REQUIRE(settings);
+    CHECK(settings->frontends[0].request_class == RequestClass::kOnceOnly);
+    CHECK(settings->frontends[0].priority == 1);
+    CHECK(settings->frontends[1].request_class == RequestClass::kUpload);
+    CHECK(settings->frontends[1].priority == 2);
+    CHECK(settings->pools[0].warm_up_ms == 2500);
+    CHECK(settings->pools[0].cold_flows_per_1000_s == 7500);
+    CHECK(settings->pools[1].cold_flows_per_1000_s == 0);
+  }
+
+  TEST_CASE("a type of a later page is served as the most careful class") {
+    const auto settings =
+        parse_configuration(replaced(kConfiguration, R"("type":"idempotent")", R"("type":"tail")"));
+    REQUIRE(settings);
+    CHECK(settings->frontends[1].request_class == RequestClass::kOnceOnly);
+  }
+
   TEST_CASE("an invalid configuration is refused with the field's name") {
     const auto refused = [](const std::string& body, const std::string& word) {
       const auto settings = parse_configuration(body);
@@ -154,6 +177,14 @@
     CHECK(settings->reflects_token);
     REQUIRE(settings->replica_addresses().size() == 2);
     CHECK(to_string(settings->replica_addresses()[1]) == "10.2.0.42:7720");
+    CHECK(settings->link_octets_per_s == 250000);
+    CHECK(settings->zones == std::vector<std::string>{"z", "y"});
+    for (const char* absurd : {"", "0", "-2", "nan", "1e99", "fast", "2.0 "}) {
+      const std::string rate = "\"" + std::string(absurd) + "\"";
+      const auto other = parse_node_settings(replaced(kSettings, "\"2.0\"", rate), "boot.conf");
+      REQUIRE(other);
+      CHECK(other->link_octets_per_s == 0);
+    }
     const auto bad =
         parse_node_settings(replaced(kSettings, "10.1.0.10:8172", "here"), "boot.conf");
     REQUIRE_FALSE(bad);
