--- a/src/core/balancer/fleet_view.cc
+++ b/src/core/balancer/fleet_view.cc
@@ -60,6 +60,24 @@
   return best;
 }
 
+/// Targets in evacuated zones are treated as draining.
+void drain_evacuated_zones(FleetState& fleet) {
+  const auto is_evacuated = [&](const Target& target) {
+    const auto& zones = fleet.steering.evacuated_zones;
+    return std::any_of(zones.begin(), zones.end(), [&](const EvacuatedZone& evacuated) {
+      return evacuated.zone == target.zone;
+    });
+  };
+  if (fleet.steering.evacuated_zones.empty()) {
+    return;
+  }
+  for (auto& service : fleet.settings.services) {
+    for (auto& target : service.targets) {
+      target.draining = target.draining || is_evacuated(target);
+    }
+  }
+}
+
 const Member* member_at(const std::vector<Member>& members, std::uint32_t index) {
   return index == kUnassigned ? nullptr : &members[index];
 }
@@ -84,6 +102,7 @@
 }
 
 FleetView::FleetView(FleetState state, const FleetView* previous) : state_(std::move(state)) {
+  drain_evacuated_zones(state_);
   assign_all_partitions(previous);
   for (const auto& service : state_.settings.services) {
     add_service(service, previous);
--- a/src/core/balancer/fleet_view.h
+++ b/src/core/balancer/fleet_view.h
@@ -45,6 +45,7 @@
   FleetView(const FleetView&) = delete;
   FleetView& operator=(const FleetView&) = delete;
 
+  /// The state; targets in evacuated zones count as draining in it.
   [[nodiscard]] const FleetState& state() const { return state_; }
   [[nodiscard]] Revision members_revision() const { return state_.members_revision; }
 
--- a/src/core/control/control_node.cc
+++ b/src/core/control/control_node.cc
@@ -255,6 +255,20 @@
   return propose_entry(EntryType::kRegistrations, encode_archive(command), now);
 }
 
+std::optional<Proposal> ControlNode::propose(const EvacuationCommand& command, Instant now) {
+  const auto proposal = propose_entry(EntryType::kEvacuation, encode_archive(command), now);
+  last_evacuation_ = proposal.value_or(last_evacuation_);
+  return proposal;
+}
+
+bool ControlNode::holds(const EvacuationCommand& command, Instant now) const {
+  // A leader with a lease has committed all entries of earlier terms, so what may be under way is
+  // what it proposed itself.
+  const bool is_decided = last_evacuation_.term != replica_->term() ||
+                          last_evacuation_.index <= replica_->commit_index();
+  return replica_->has_lease(now) && is_decided && is_in_force(state_.fleet().steering, command);
+}
+
 std::optional<Proposal> ControlNode::propose_entry(EntryType type, Bytes payload, Instant now) {
   const auto index = replica_->propose(type, std::move(payload), now);
   publisher_.push(now);
--- a/src/core/control/control_node.h
+++ b/src/core/control/control_node.h
@@ -85,6 +85,10 @@
   /// Proposes a steering command; nothing when this replica cannot.
   std::optional<Proposal> propose(const SteeringCommand& command, Instant now);
   std::optional<Proposal> propose(const RegistrationCommand& command, Instant now);
+  std::optional<Proposal> propose(const EvacuationCommand& command, Instant now);
+  /// True when this replica can prove that the command is in force and that nothing under way
+  /// undoes it: it may be acknowledged without an entry.
+  [[nodiscard]] bool holds(const EvacuationCommand& command, Instant now) const;
   [[nodiscard]] ProposalStatus status(const Proposal& proposal) const;
   /// Notes that a target was heard, and tells whether what it said is news. A follower that is
   /// current answers for what the committed state holds, too, and reports to the leader.
@@ -174,6 +178,8 @@
   std::set<Endpoint> may_stop_;
   /// Index of the last proposed membership change, until it is committed.
   LogIndex pending_members_ = 0;
+  /// The last evacuation that was proposed here.
+  Proposal last_evacuation_;
 };
 
 }  // namespace gorsevalve
--- a/src/core/control/control_state.cc
+++ b/src/core/control/control_state.cc
@@ -83,6 +83,10 @@
     if (const auto command = decode_archive<RegistrationCommand>(entry.payload)) {
       apply_registrations(entry.index, *command);
     }
+  } else if (entry.type == EntryType::kEvacuation) {
+    if (const auto command = decode_archive<EvacuationCommand>(entry.payload)) {
+      apply_evacuation(entry.index, *command);
+    }
   }
 }
 
@@ -101,6 +105,13 @@
   }
 }
 
+void ControlState::apply_evacuation(LogIndex index, const EvacuationCommand& command) {
+  auto change = steering_delta(fleet_.steering, command, index);
+  if (change) {
+    add_steering(index, std::move(*change));
+  }
+}
+
 void ControlState::add_steering(LogIndex index, SteeringDelta change) {
   FleetDelta delta;
   delta.base = fleet_.revision;
--- a/src/core/control/control_state.h
+++ b/src/core/control/control_state.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "core/control/evacuation.h"
 #include "core/control/fleet_delta.h"
 #include "core/control/fleet_digest.h"
 #include "core/control/replica.h"
@@ -99,6 +100,7 @@
   void apply_members(LogIndex index, const MembersCommand& command);
   void apply_steering(LogIndex index, SteeringCommand command);
   void apply_registrations(LogIndex index, const RegistrationCommand& command);
+  void apply_evacuation(LogIndex index, const EvacuationCommand& command);
   void add_steering(LogIndex index, SteeringDelta change);
   void remember(SubmissionOutcome outcome);
   /// Applies a change, and keeps it for nodes that lag.
--- /dev/null
+++ b/src/core/control/evacuation.cc
@@ -0,0 +1,97 @@
+#include "core/control/evacuation.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+namespace gorsevalve {
+
+std::string_view to_string(EvacuationOrder order) {
+  return order == EvacuationOrder::kEvacuate ? "evacuate" : "restore";
+}
+
+const EvacuatedZone* find_evacuation(const SteeringState& state, std::string_view zone) {
+  const auto found =
+      std::find_if(state.evacuated_zones.begin(), state.evacuated_zones.end(),
+                   [&](const EvacuatedZone& evacuated) { return evacuated.zone == zone; });
+  return found == state.evacuated_zones.end() ? nullptr : &*found;
+}
+
+bool is_in_force(const SteeringState& state, const EvacuationCommand& command) {
+  const bool is_evacuated = find_evacuation(state, command.zone) != nullptr;
+  return is_evacuated == (command.order == EvacuationOrder::kEvacuate);
+}
+
+std::optional<SteeringDelta> steering_delta(const SteeringState& state,
+                                            const EvacuationCommand& command, Revision since) {
+  if (is_in_force(state, command)) {
+    return std::nullopt;
+  }
+  SteeringDelta delta;
+  delta.has_evacuations = true;
+  delta.evacuated_zones = state.evacuated_zones;
+  if (command.order == EvacuationOrder::kRestore) {
+    std::erase_if(delta.evacuated_zones,
+                  [&](const EvacuatedZone& evacuated) { return evacuated.zone == command.zone; });
+    return delta;
+  }
+  delta.evacuated_zones.push_back({command.zone, since});
+  std::sort(delta.evacuated_zones.begin(), delta.evacuated_zones.end(),
+            [](const EvacuatedZone& a, const EvacuatedZone& b) { return a.zone < b.zone; });
+  return delta;
+}
+
+std::vector<std::string> known_zones(const std::vector<std::string>& configured,
+                                     const FleetState& fleet) {
+  std::set<std::string> zones(configured.begin(), configured.end());
+  for (const auto& service : fleet.settings.services) {
+    for (const auto& target : service.targets) {
+      zones.insert(target.zone);
+    }
+  }
+  for (const auto& target : fleet.steering.targets) {
+    zones.insert(target.zone);
+  }
+  for (const auto& evacuated : fleet.steering.evacuated_zones) {
+    zones.insert(evacuated.zone);
+  }
+  zones.erase("");
+  return {zones.begin(), zones.end()};
+}
+
+std::string unknown_zone_error(const std::string& zone, const std::vector<std::string>& known) {
+  std::string message = "there is no zone \"" + zone + "\"; known zones:";
+  for (const auto& name : known) {
+    message += " " + name;
+  }
+  return known.empty() ? message + " none" : message;
+}
+
+std::vector<std::string> pools_without_targets(const FleetState& fleet) {
+  // Whether a pool or service with targets that could take new work has one outside.
+  std::map<std::string, bool> is_served;
+  const auto note = [&](const std::string& name, const std::string& zone) {
+    is_served[name] |= find_evacuation(fleet.steering, zone) == nullptr;
+  };
+  for (const auto& service : fleet.settings.services) {
+    for (const auto& target : service.targets) {
+      if (!target.draining) {
+        note(service.name, target.zone);
+      }
+    }
+  }
+  for (const auto& target : fleet.steering.targets) {
+    if (target.phase == TargetPhase::kReady || target.phase == TargetPhase::kSilent) {
+      note(target.pool, target.zone);
+    }
+  }
+  std::vector<std::string> without;
+  for (const auto& [name, served] : is_served) {
+    if (!served) {
+      without.push_back(name);
+    }
+  }
+  return without;
+}
+
+}  // namespace gorsevalve
--- a/src/core/control/log_entry.h
+++ b/src/core/control/log_entry.h
@@ -32,6 +32,8 @@
   kSteering = 4,
   /// A RegistrationCommand.
   kRegistrations = 5,
+  /// An EvacuationCommand.
+  kEvacuation = 6,
 };
 
 struct LogEntry {
--- a/src/core/steering/flow_steering.cc
+++ b/src/core/steering/flow_steering.cc
@@ -149,7 +149,7 @@
   if (entry != nullptr && entry->phase == FlowPhase::kOpening && packet.copies_before > 0) {
     const RegisteredTarget* before = view_.target_by_id(entry->target);
     const bool usable = before != nullptr && before->phase == TargetPhase::kReady &&
-                        view_.may_reach(frontend, *before);
+                        view_.may_reach(frontend, *before) && !view_.is_evacuated(*before);
     if (!entry->has_copy) {
       entry->has_copy = true;
       scores_.on_unanswered(entry->target, now);
--- a/src/core/steering/steering_view.cc
+++ b/src/core/steering/steering_view.cc
@@ -29,6 +29,7 @@
   for (const auto& frontend : state.settings.frontends) {
     put_frontend(frontend);
   }
+  set_evacuated_zones(state.evacuated_zones);
   for (const auto& target : state.targets) {
     put_target(target);
   }
@@ -51,6 +52,38 @@
   for (const auto& target : delta.upserted_targets) {
     put_target(target);
   }
+  if (delta.has_evacuations) {
+    set_evacuated_zones(delta.evacuated_zones);
+  }
+}
+
+void SteeringView::set_evacuated_zones(const std::vector<EvacuatedZone>& evacuated) {
+  evacuated_zones_.clear();
+  for (const auto& one : evacuated) {
+    evacuated_zones_.insert(one.zone);
+  }
+  for (auto& targets : pool_targets_) {
+    targets.clear();
+  }
+  std::vector<TargetId> ids;
+  ids.reserve(targets_.size());
+  for (const auto& [id, target] : targets_) {
+    ids.push_back(id);
+  }
+  // The order of the table must not show.
+  std::sort(ids.begin(), ids.end());
+  for (const TargetId id : ids) {
+    offer_for_placement(targets_.at(id));
+  }
+}
+
+void SteeringView::offer_for_placement(const RegisteredTarget& target) {
+  const bool is_ending =
+      target.phase == TargetPhase::kDraining || target.phase == TargetPhase::kEnded;
+  const std::uint32_t pool = pool_index(target.pool);
+  if (!is_ending && !is_evacuated(target)) {
+    pool_targets_[pool].push_back(&target);
+  }
 }
 
 std::uint32_t SteeringView::pool_index(const std::string& name) {
@@ -107,14 +140,10 @@
     held = target;
   }
   by_token_[held.token] = held.id;
-  std::vector<const RegisteredTarget*>& pool = pool_targets_[pool_index(held.pool)];
-  if (held.phase == TargetPhase::kEnded) {
-    return;
-  }
-  living_at_[held.address].push_back(held.id);
-  if (held.phase != TargetPhase::kDraining) {
-    pool.push_back(&held);
+  if (held.phase != TargetPhase::kEnded) {
+    living_at_[held.address].push_back(held.id);
   }
+  offer_for_placement(held);
 }
 
 void SteeringView::forget_target(TargetId id) {
--- a/src/core/steering/steering_view.h
+++ b/src/core/steering/steering_view.h
@@ -56,7 +56,11 @@
   /// Targets at an address that have not ended, the earliest first; of the whole states that were
   /// taken, the order is not known.
   [[nodiscard]] std::vector<TargetId> living_at(const Endpoint& address) const;
-  /// Targets of a pool that are not ending.
+  /// True when an operator's order keeps new flows from the target's zone.
+  [[nodiscard]] bool is_evacuated(const RegisteredTarget& target) const {
+    return evacuated_zones_.contains(target.zone);
+  }
+  /// Targets of a pool that may get new flows: neither ending nor in an evacuated zone.
   [[nodiscard]] const std::vector<const RegisteredTarget*>& pool_targets(std::uint32_t pool) const {
     return pool_targets_[pool];
   }
@@ -70,6 +74,10 @@
   void drop_frontend(const Endpoint& address);
   void put_target(const RegisteredTarget& target);
   void forget_target(TargetId id);
+  /// Takes all evacuated zones in place of the earlier ones.
+  void set_evacuated_zones(const std::vector<EvacuatedZone>& evacuated);
+  /// Puts a target into its pool's list when it may get new flows.
+  void offer_for_placement(const RegisteredTarget& target);
   /// Takes a target out of the indexes, before it changes.
   void unlink(const RegisteredTarget& target);
 
@@ -80,6 +88,7 @@
   std::vector<std::vector<const RegisteredTarget*>> pool_targets_;
   absl::flat_hash_map<Endpoint, FrontendView> frontends_;
   absl::flat_hash_set<Endpoint> dropped_;
+  absl::flat_hash_set<std::string> evacuated_zones_;
   absl::flat_hash_map<FlowToken, TargetId> by_token_;
   /// Targets that have not ended, by address.
   absl::flat_hash_map<Endpoint, std::vector<TargetId>> living_at_;
--- a/src/core/steering/target_scores.cc
+++ b/src/core/steering/target_scores.cc
@@ -40,10 +40,13 @@
 void TargetScores::on_target(const RegisteredTarget& target, Instant now) {
   by_token_[target.token] = target.id;
   const auto [found, is_new] = scores_.try_emplace(target.id);
-  if (is_new) {
-    found->second.warm_at = now + milliseconds(target.warm_up_ms);
+  TargetScore& score = found->second;
+  // What is known already says nothing new of the warm-up: it went on meanwhile.
+  if (is_new || target.sequence > score.announced) {
+    score.warm_at = now + milliseconds(target.warm_up_ms);
+    score.announced = target.sequence;
   }
-  found->second.unreported.token = target.token;
+  score.unreported.token = target.token;
 }
 
 void TargetScores::on_forgotten(TargetId id) {
--- a/src/core/steering/target_scores.h
+++ b/src/core/steering/target_scores.h
@@ -31,6 +31,8 @@
   Instant answer_at;
   /// Slow until then, as the target said.
   Instant warm_at;
+  /// Sequence of the announcement that said so.
+  std::uint64_t announced = 0;
   /// What was seen here since the last report.
   TargetObservation unreported;
   /// What all balancers saw together.
--- a/src/model/steering.h
+++ b/src/model/steering.h
@@ -126,7 +126,7 @@
   TargetPhase phase = TargetPhase::kReady;
   /// Rises with each announcement of the target.
   std::uint64_t sequence = 0;
-  /// How long the target stays slow, from its announcement on.
+  /// How long the target stays slow, from its announcement on; 0 when it is warm.
   std::uint32_t warm_up_ms = 0;
 
   friend bool operator==(const RegisteredTarget&, const RegisteredTarget&) = default;
--- a/src/programs/control_admin.cc
+++ b/src/programs/control_admin.cc
@@ -18,6 +18,8 @@
 
 using nlohmann::json;
 
+constexpr std::string_view kEvacuationPrefix = "/v1/evacuations/";
+
 json to_json(const SubmissionOutcome& outcome) {
   return {{"id", outcome.id},
           {"accepted", outcome.accepted},
@@ -36,7 +38,38 @@
   return list;
 }
 
-std::string error_body(const std::string& message) { return json{{"error", message}}.dump(); }
+/// A message may quote octets of a caller that are no text.
+std::string to_text(const json& body) {
+  return body.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+std::string error_body(const std::string& message) { return to_text({{"error", message}}); }
+
+std::string not_leader_body(const std::optional<Endpoint>& leader) {
+  json body = {{"error", "this replica is not the leader"}};
+  if (leader) {
+    body["leader"] = to_string(*leader);
+  }
+  return body.dump();
+}
+
+/// HTTP status and body for the result of an order.
+HttpResponse to_response(const EvacuationCommand& command, const SteeringReply& reply) {
+  switch (reply.status) {
+    case SteeringStatus::kAcknowledged:
+      return {200, "application/json",
+              json{{"zone", command.zone}, {"order", to_string(command.order)}}.dump()};
+    case SteeringStatus::kNotLeader:
+      return {421, "application/json", not_leader_body(reply.leader)};
+    case SteeringStatus::kUnknown:
+      return {202, "application/json", error_body("not decided yet; ask again")};
+    case SteeringStatus::kUnknownZone:
+      return {404, "application/json",
+              to_text({{"error", unknown_zone_error(command.zone, reply.known_zones)},
+                       {"known_zones", reply.known_zones}})};
+  }
+  return {500, "application/json", error_body("internal error")};
+}
 
 /// HTTP status and body for the result of a submission.
 HttpResponse to_response(const SubmissionResult& result) {
@@ -44,19 +77,22 @@
     case ControlStatus::kOk:
       return {result.outcome.accepted ? 200 : 409, "application/json",
               to_json(result.outcome).dump()};
-    case ControlStatus::kNotLeader: {
-      json body = {{"error", "this replica is not the leader"}};
-      if (result.leader) {
-        body["leader"] = to_string(*result.leader);
-      }
-      return {421, "application/json", body.dump()};
-    }
+    case ControlStatus::kNotLeader:
+      return {421, "application/json", not_leader_body(result.leader)};
     case ControlStatus::kPending:
       return {202, "application/json", error_body("not decided yet; ask again with the same id")};
   }
   return {500, "application/json", error_body("internal error")};
 }
 
+json evacuations_json(const SteeringState& steering) {
+  json list = json::array();
+  for (const auto& evacuated : steering.evacuated_zones) {
+    list.push_back({{"zone", evacuated.zone}, {"since_revision", evacuated.since}});
+  }
+  return list;
+}
+
 json status_json(const ControlTask& control) {
   const ControlNode& node = control.node();
   const ForceStatus force = node.force_status();
@@ -74,6 +110,8 @@
                {"members", force.members},
                {"in_force", force.in_force},
                {"lagging", lagging},
+               {"evacuated_zones", evacuations_json(node.state().fleet().steering)},
+               {"without_targets", pools_without_targets(node.state().fleet())},
                {"replicas", json::array()}};
   for (const auto& replica : node.replica().replicas().replicas) {
     body["replicas"].push_back(
@@ -130,6 +168,8 @@
       {"gorsevalve_control_members", "Balancer members", static_cast<double>(force.members), false},
       {"gorsevalve_control_members_in_force", "Members that have the settings in force",
        static_cast<double>(force.in_force), false},
+      {"gorsevalve_control_zones_evacuated", "Zones that are evacuated by the committed state",
+       static_cast<double>(node.state().fleet().steering.evacuated_zones.size()), false},
       {"gorsevalve_control_messages_refused_total", "Messages that were not authentic",
        static_cast<double>(control.messages_refused()), true},
   });
@@ -205,9 +245,13 @@
   const bool may_submit = is_authorized(request.authorization, tokens_.submit);
   const bool may_read = may_submit || is_authorized(request.authorization, tokens_.read);
   const bool is_open = request.path == "/v1/health" || request.path == "/metrics";
-  const bool submits = request.method == "POST" && request.path == "/v1/submissions";
+  const bool orders = request.path.starts_with(kEvacuationPrefix) &&
+                      (request.method == "PUT" || request.method == "DELETE");
+  const bool submits = orders || (request.method == "POST" && request.path == "/v1/submissions");
   if (submits ? !may_submit : !may_read && !is_open) {
     server_->respond(number, {401, "application/json", error_body("a valid token is needed")});
+  } else if (orders) {
+    on_evacuation(number, request);
   } else if (submits) {
     on_submission(number, request);
   } else if (request.method == "GET") {
@@ -252,6 +296,18 @@
   });
 }
 
+void ControlAdmin::on_evacuation(Number number, const HttpRequest& request) {
+  const EvacuationCommand command{
+      request.path.substr(kEvacuationPrefix.size()),
+      request.method == "PUT" ? EvacuationOrder::kEvacuate : EvacuationOrder::kRestore};
+  main_loop_.post([this, number, command] {
+    control_.order_evacuation(command, [this, number, command](const SteeringReply& reply) {
+      const HttpResponse response = to_response(command, reply);
+      respond(number, response.status, response.body);
+    });
+  });
+}
+
 void ControlAdmin::on_read(Number number, const std::string& path) {
   constexpr std::string_view kSubmissionPrefix = "/v1/submissions/";
   const ControlState& state = control_.node().state();
--- a/src/programs/control_admin.h
+++ b/src/programs/control_admin.h
@@ -39,6 +39,7 @@
 
   void on_request(Number number, const HttpRequest& request);
   void on_submission(Number number, const HttpRequest& request);
+  void on_evacuation(Number number, const HttpRequest& request);
   void on_read(Number number, const std::string& path);
   /// Answers from the main task's thread.
   void respond(Number number, int status, const std::string& body,
--- a/src/programs/operator_main.cc
+++ b/src/programs/operator_main.cc
@@ -13,19 +13,17 @@
 #include <optional>
 #include <sstream>
 
+#include "programs/api_client.h"
 #include "programs/explain.h"
 #include "programs/program.h"
 #include "settings/settings_file.h"
-#include "tasks/http_client.h"
 #include "tasks/random_number.h"
 
-ABSL_FLAG(std::vector<std::string>, server, {}, "administration addresses, IP:port,...");
-ABSL_FLAG(std::string, token_file, "", "file whose first line is the API token");
 ABSL_FLAG(std::string, id, "", "submission id; a resend with the same id is harmless");
 ABSL_FLAG(std::string, author, "", "name for the audit line");
 ABSL_FLAG(std::int64_t, base, -1, "settings revision the file is based on; -1 for the present one");
 ABSL_FLAG(bool, wait, false, "apply: wait until the settings are in force on every balancer");
-ABSL_FLAG(std::int32_t, timeout_s, 30, "how long to try and to wait, in seconds");
+ABSL_DECLARE_FLAG(std::int32_t, timeout_s);
 ABSL_FLAG(bool, json, false, "print JSON");
 
 namespace gorsevalve {
@@ -45,9 +43,22 @@
        "every\n"
        "  balancer. A resend with the same --id gives the first outcome again.\n"
        "  Exit: 0 accepted, 2 refused, 3 conflict, 4 no leader reached, 5 not in force in time.\n"},
+      {"evacuate",
+       "gorsevalve evacuate ZONE --server=IP:port,... --token_file=FILE [--timeout_s=N]\n"
+       "  Keeps new flows and requests from the zone's targets; open flows stay there. Returns "
+       "when\n"
+       "  the order is kept by a majority of the replicas; it holds until \"restore\". The same "
+       "order\n"
+       "  again is harmless. Pools that are left without targets are named.\n"
+       "  Exit: 0 in force, 2 unknown zone, 4 no leader reached.\n"},
+      {"restore",
+       "gorsevalve restore ZONE --server=IP:port,... --token_file=FILE [--timeout_s=N]\n"
+       "  Ends the evacuation of a zone.\n"
+       "  Exit: 0 in force, 2 unknown zone, 4 no leader reached.\n"},
       {"status",
        "gorsevalve status --server=IP:port,... --token_file=FILE [--json]\n"
-       "  Shows the leader's view: revision, members, and which lag.\n"
+       "  Shows the leader's view: revision, members, and which lag; evacuated zones with the\n"
+       "  revision since when, and pools that are without targets by it.\n"
        "  Exit: 0, or 4 when no leader was reached.\n"},
       {"diff",
        "gorsevalve diff FILE --server=IP:port,... --token_file=FILE\n"
@@ -64,80 +75,6 @@
   return kHelp;
 }
 
-/// Requests to the administration API, tried at each server until one that leads answers.
-class ApiClient {
- public:
-  ApiClient() : client_(loop_, std::chrono::seconds(6)) {
-    servers_ = require_endpoints("server", absl::GetFlag(FLAGS_server));
-    if (servers_.empty()) {
-      std::exit(fail("--server is needed", kExitUsage));
-    }
-    std::ifstream file(require_value("token_file", absl::GetFlag(FLAGS_token_file)));
-    std::string line;
-    std::getline(file, line);
-    const std::size_t space = line.find(' ');
-    token_ = space == std::string::npos ? line : line.substr(space + 1);
-    if (token_.empty()) {
-      std::exit(fail("--token_file: no token in its first line", kExitUsage));
-    }
-  }
-
-  /// The leader's response; nothing when none answered in time.
-  std::optional<HttpClientResponse> request(const std::string& method, const std::string& path,
-                                            const std::string& body = {}) {
-    const Instant deadline = monotonic_now() + std::chrono::seconds(absl::GetFlag(FLAGS_timeout_s));
-    do {
-      for (const auto& server : servers_) {
-        auto response = send(server, method, path, body);
-        const bool leads = response && response->status != kNotLeader &&
-                           response->status != kPending && is_from_leader(path, *response);
-        if (leads) {
-          return response;
-        }
-      }
-      pause();
-    } while (monotonic_now() < deadline);
-    return std::nullopt;
-  }
-
-  void pause() { run_for(std::chrono::milliseconds(200)); }
-
- private:
-  static constexpr int kNotLeader = 421;
-  static constexpr int kPending = 202;
-
-  static bool is_from_leader(const std::string& path, const HttpClientResponse& response) {
-    if (path != "/v1/status") {
-      return true;
-    }
-    const json body = json::parse(response.body, nullptr, false);
-    return body.is_object() && body.value("is_leader", false);
-  }
-
-  std::optional<HttpClientResponse> send(const Endpoint& server, const std::string& method,
-                                         const std::string& path, const std::string& body) {
-    std::optional<HttpClient::Result> result;
-    client_.send({method, server, path, body, token_},
-                 [&](HttpClient::Result received) { result = std::move(received); });
-    while (!result) {
-      h2o_evloop_run(loop_.raw(), 50);
-    }
-    return *result ? std::optional(**result) : std::nullopt;
-  }
-
-  void run_for(Duration duration) {
-    const Instant end = monotonic_now() + duration;
-    while (monotonic_now() < end) {
-      h2o_evloop_run(loop_.raw(), 20);
-    }
-  }
-
-  EventLoop loop_;
-  HttpClient client_;
-  std::vector<Endpoint> servers_;
-  std::string token_;
-};
-
 std::string read_file(const std::string& path) {
   std::ifstream file(path, std::ios::binary);
   if (!file) {
@@ -249,6 +186,36 @@
   return absl::GetFlag(FLAGS_wait) ? wait_until_in_force(api, revision) : kExitOk;
 }
 
+void print_evacuations(const json& status) {
+  for (const auto& evacuated : status.value("evacuated_zones", json::array())) {
+    std::printf("  evacuated: %s since revision %llu\n",
+                evacuated.value("zone", std::string("?")).c_str(),
+                static_cast<unsigned long long>(evacuated.value("since_revision", 0ULL)));
+  }
+  for (const auto& name : status.value("without_targets", json::array())) {
+    std::printf("  without targets: %s\n", name.get<std::string>().c_str());
+  }
+}
+
+/// Orders a zone to be evacuated (PUT) or restored (DELETE).
+int order_evacuation(const std::string& method, const std::string& zone) {
+  ApiClient api;
+  const auto response = api.request(method, "/v1/evacuations/" + zone);
+  if (!response) {
+    return fail("no leader answered; send the order again", kExitUnreachable);
+  }
+  if (response->status != 200) {
+    return print_refusal(*response);
+  }
+  std::printf("in force: zone %s is %s\n", zone.c_str(),
+              method == "PUT" ? "evacuated" : "not evacuated");
+  const auto status = api.request("GET", "/v1/status");
+  if (status) {
+    print_evacuations(json::parse(status->body, nullptr, false));
+  }
+  return kExitOk;
+}
+
 int status() {
   ApiClient api;
   const auto response = api.request("GET", "/v1/status");
@@ -268,6 +235,7 @@
   for (const auto& name : body.value("lagging", json::array())) {
     std::printf("  lagging: %s\n", name.get<std::string>().c_str());
   }
+  print_evacuations(body);
   return kExitOk;
 }
 
@@ -352,11 +320,14 @@
   const std::string command = words.size() > 1 ? words[1] : "";
   const std::string file = words.size() > 2 ? words[2] : "";
   const bool explains = command == "explain";
-  const bool needs_file = command == "check" || command == "apply" || command == "diff" || explains;
+  const bool orders = command == "evacuate" || command == "restore";
+  const bool needs_file =
+      command == "check" || command == "apply" || command == "diff" || explains || orders;
   if (!command_help().contains(command) || (needs_file && file.empty()) ||
       (explains && words.size() < 4)) {
     std::fprintf(stderr,
-                 "usage: gorsevalve check|apply|status|diff|explain [FILE] [flags]; "
+                 "usage: gorsevalve check|apply|status|diff|evacuate|restore|explain [FILE|ZONE] "
+                 "[flags]; "
                  "gorsevalve COMMAND --help\n");
     return kExitUsage;
   }
@@ -366,6 +337,9 @@
   if (explains) {
     return explain_id(file, {words.begin() + 3, words.end()});
   }
+  if (orders) {
+    return order_evacuation(command == "evacuate" ? "PUT" : "DELETE", file);
+  }
   if (command == "apply") {
     return apply(file);
   }
@@ -391,7 +365,7 @@
     return gorsevalve::kExitOk;
   }
   absl::SetProgramUsageMessage(
-      "gorsevalve check|apply|status|diff|explain [FILE] [flags]\n"
+      "gorsevalve check|apply|status|diff|evacuate|restore|explain [FILE|ZONE] [flags]\n"
       "gorsevalve COMMAND --help tells of one command. See docs/programs.md.");
   return gorsevalve::run(absl::ParseCommandLine(argc, argv));
 }
--- a/src/tasks/control_task.cc
+++ b/src/tasks/control_task.cc
@@ -131,7 +131,7 @@
     });
   }
   answer_waiting(now);
-  answer_proposals(now);
+  proposals_.answer(*node_, now);
   return opened->sender;
 }
 
@@ -147,7 +147,7 @@
   flush_log();
   node_->on_tick(now);
   answer_waiting(now);
-  answer_proposals(now);
+  proposals_.answer(*node_, now);
   decide_held_calls(now);
   if (node_->replica().has_failed()) {
     log_event(LogEvent::kStorageFailedStopping);
@@ -250,6 +250,30 @@
   wait_for(node_->propose(command, now), std::move(callbacks), version);
 }
 
+void ControlTask::order_evacuation(const EvacuationCommand& command, SteeringCallback callback) {
+  const Instant now = monotonic_now();
+  if (stopping_ || !node_->replica().has_lease(now)) {
+    callback(not_leader());
+    return;
+  }
+  const std::vector<std::string> known = known_zones(config_.zones, node_->state().fleet());
+  if (!std::binary_search(known.begin(), known.end(), command.zone)) {
+    log_event(LogEvent::kEvacuationRefused, {{"zone", command.zone}, {"known_zones", known}});
+    callback({SteeringStatus::kUnknownZone, std::nullopt, known});
+    return;
+  }
+  const bool is_held = node_->holds(command, now);
+  log_event(LogEvent::kEvacuationOrdered,
+            {{"zone", command.zone}, {"order", to_string(command.order)}, {"held", is_held}});
+  if (is_held) {
+    callback({SteeringStatus::kAcknowledged, std::nullopt});
+    return;
+  }
+  std::vector<SteeringCallback> callbacks;
+  callbacks.push_back(std::move(callback));
+  wait_for(node_->propose(command, now), std::move(callbacks), command);
+}
+
 void ControlTask::announce(RegisteredTarget announced, SteeringCallback callback) {
   const Instant now = monotonic_now();
   const AnnouncementStatus status =
@@ -323,12 +347,12 @@
     log_event(LogEvent::kTargetEnded, {{"target", id}});
   }
   wait_for(node_->propose(command, monotonic_now()), std::exchange(registration_callbacks_, {}),
-           std::nullopt);
+           std::monostate{});
 }
 
 void ControlTask::wait_for(const std::optional<Proposal>& proposal,
                            std::vector<SteeringCallback> callbacks,
-                           std::optional<OperatorVersion> version) {
+                           WaitingProposals::Subject subject) {
   const Instant now = monotonic_now();
   if (!proposal) {
     for (const auto& callback : callbacks) {
@@ -336,39 +360,9 @@
     }
     return;
   }
-  proposals_.push_back(
-      {*proposal, std::move(callbacks), now + config_.steering_timeout, version, now});
-  answer_proposals(now);
-}
-
-void ControlTask::log_decision(const WaitingProposal& waiting, bool committed, Instant now) {
-  nlohmann::json fields = {{"index", waiting.proposal.index},
-                           {"term", waiting.proposal.term},
-                           {"outcome", committed ? "acknowledged" : "unknown"},
-                           {"us", (now - waiting.proposed_at).count()}};
-  if (waiting.version) {
-    fields["version"] = *waiting.version;
-    log_event(LogEvent::kSteeringDecided, fields);
-  } else {
-    log_event(LogEvent::kRegistrationsDecided, fields);
-  }
-}
-
-void ControlTask::answer_proposals(Instant now) {
-  std::vector<WaitingProposal> still_waiting;
-  for (auto& waiting : std::exchange(proposals_, {})) {
-    const ProposalStatus status = node_->status(waiting.proposal);
-    if (status == ProposalStatus::kPending && now < waiting.deadline) {
-      still_waiting.push_back(std::move(waiting));
-      continue;
-    }
-    const bool committed = status == ProposalStatus::kCommitted;
-    log_decision(waiting, committed, now);
-    for (const auto& callback : waiting.callbacks) {
-      callback({committed ? SteeringStatus::kAcknowledged : SteeringStatus::kUnknown, {}});
-    }
-  }
-  proposals_ = std::move(still_waiting);
+  proposals_.add(
+      {*proposal, std::move(callbacks), std::move(subject), now, now + config_.steering_timeout});
+  proposals_.answer(*node_, now);
 }
 
 tl::expected<std::string, SteeringReply> ControlTask::read_steering() const {
--- a/src/tasks/control_task.h
+++ b/src/tasks/control_task.h
@@ -15,6 +15,7 @@
 #include "storage/log_store.h"
 #include "tasks/event_loop.h"
 #include "tasks/frame_network.h"
+#include "tasks/waiting_proposals.h"
 
 namespace gorsevalve {
 
@@ -26,6 +27,8 @@
   std::vector<Endpoint> replicas;
   /// Where this process runs; may be empty.
   std::string zone;
+  /// Zones that operators may evacuate beside those of known targets.
+  std::vector<std::string> zones;
   std::string cluster;
   ClusterKeys keys;
   std::uint64_t incarnation = 0;
@@ -36,21 +39,6 @@
   RegistrationTiming registrations;
 };
 
-/// Answer to a steering command or an announcement.
-enum class SteeringStatus : std::uint8_t {
-  /// Committed, or the committed state says the same already.
-  kAcknowledged = 0,
-  /// Nothing was done here; `leader` names whom to ask, if it is known.
-  kNotLeader = 1,
-  /// Whether it is in force may go either way.
-  kUnknown = 2,
-};
-
-struct SteeringReply {
-  SteeringStatus status = SteeringStatus::kNotLeader;
-  std::optional<Endpoint> leader;
-};
-
 /// Replicas that found a cluster: their identities follow from the cluster's name and their
 /// addresses.
 ReplicaSet founding_replicas(const std::string& cluster, const std::vector<Endpoint>& addresses);
@@ -58,7 +46,6 @@
 class ControlTask : private ControlOutput, private ReplicaStorage {
  public:
   using SubmissionCallback = std::function<void(const SubmissionResult&)>;
-  using SteeringCallback = std::function<void(const SteeringReply&)>;
 
   /// Writes the identity of a founding replica into an empty data folder.
   static StorageResult<void> initialize(Disk& disk, const ControlTaskConfig& config);
@@ -75,6 +62,8 @@
 
   /// Submits a whole steering file; the highest version holds.
   void submit_steering(const SteeringCommand& command, SteeringCallback callback);
+  /// Evacuates a zone or takes it back; acknowledged once it is committed, or when it is in force.
+  void order_evacuation(const EvacuationCommand& command, SteeringCallback callback);
   /// A target announced itself.
   void announce(RegisteredTarget announced, SteeringCallback callback);
   /// A target said that it has ended.
@@ -99,16 +88,6 @@
     Instant deadline;
   };
 
-  /// A command in the log that is not decided yet.
-  struct WaitingProposal {
-    Proposal proposal;
-    std::vector<SteeringCallback> callbacks;
-    Instant deadline;
-    /// Operator version for a submission; nothing for registrations.
-    std::optional<OperatorVersion> version;
-    Instant proposed_at;
-  };
-
   ControlTask(EventLoop& loop, ControlTaskConfig config, Disk& disk);
 
   std::optional<Endpoint> on_frame(ByteView frame);
@@ -116,11 +95,9 @@
   void on_tick();
   void log_troubled_targets();
   void answer_waiting(Instant now);
-  void answer_proposals(Instant now);
   [[nodiscard]] SteeringReply not_leader() const;
   void wait_for(const std::optional<Proposal>& proposal, std::vector<SteeringCallback> callbacks,
-                std::optional<OperatorVersion> version);
-  static void log_decision(const WaitingProposal& waiting, bool committed, Instant now);
+                WaitingProposals::Subject subject);
   void queue_registration(SteeringCallback callback);
   /// True shortly after the start while no replica leads: then no other one can answer either.
   [[nodiscard]] bool awaits_first_leader(Instant now) const;
@@ -150,7 +127,7 @@
   /// Messages that went to several peers, the latest last, with their encoded form.
   std::deque<std::pair<SharedNodeMessage, EncodedMessage>> encoded_;
   std::vector<Waiting> waiting_;
-  std::vector<WaitingProposal> proposals_;
+  WaitingProposals proposals_;
   /// Registrations of this turn of the loop: they go into one entry.
   RegistrationCommand registrations_;
   std::vector<SteeringCallback> registration_callbacks_;
--- a/src/tasks/metrics.cc
+++ b/src/tasks/metrics.cc
@@ -69,6 +69,8 @@
       gauge("operator_version", "Operator version in force",
             static_cast<double>(task.fleet().steering.settings.version)),
       gauge("targets", "Targets known", static_cast<double>(task.fleet().steering.targets.size())),
+      gauge("zones_evacuated", "Zones whose targets get no new flows from here",
+            static_cast<double>(task.fleet().steering.evacuated_zones.size())),
   };
   for (std::size_t i = 0; i < kSteeringReasons; ++i) {
     samples.push_back(
@@ -94,6 +96,8 @@
             static_cast<double>(node.state().fleet().revision)),
       gauge("operator_version", "Operator version that holds",
             static_cast<double>(node.state().fleet().steering.settings.version)),
+      gauge("zones_evacuated", "Zones that are evacuated by the committed state",
+            static_cast<double>(node.state().fleet().steering.evacuated_zones.size())),
       gauge("balancers_served", "Balancers that get updates from here",
             static_cast<double>(node.balancers_served())),
       counter("updates_repeated", "Updates that went to a balancer again", task.updates_repeated()),
--- a/src/tasks/steering_task.cc
+++ b/src/tasks/steering_task.cc
@@ -1,5 +1,7 @@
 #include "tasks/steering_task.h"
 
+#include <algorithm>
+
 #include "tasks/following_log.h"
 #include "tasks/log.h"
 
@@ -281,9 +283,27 @@
                                          {"operator_version", fleet.steering.settings.version},
                                          {"targets", fleet.steering.targets.size()},
                                          {"held_packets", held_.size()}});
+  log_evacuations(fleet);
   release_held(now);
 }
 
+void SteeringTask::log_evacuations(const FleetState& fleet) {
+  const std::vector<EvacuatedZone>& present = fleet.steering.evacuated_zones;
+  for (const auto& before : logged_evacuations_) {
+    if (std::find(present.begin(), present.end(), before) == present.end()) {
+      log_event(LogEvent::kZoneRestored, {{"zone", before.zone}, {"revision", fleet.revision}});
+    }
+  }
+  for (const auto& evacuated : present) {
+    if (std::find(logged_evacuations_.begin(), logged_evacuations_.end(), evacuated) ==
+        logged_evacuations_.end()) {
+      log_event(LogEvent::kZoneEvacuated,
+                {{"zone", evacuated.zone}, {"revision", evacuated.since}});
+    }
+  }
+  logged_evacuations_ = present;
+}
+
 void SteeringTask::on_confirmed(Instant now) {
   steering_.confirm(now);
   log_event(LogEvent::kRevisionConfirmed,
--- a/src/tasks/steering_task.h
+++ b/src/tasks/steering_task.h
@@ -108,6 +108,8 @@
   void on_deltas(const FleetState& fleet, const std::vector<FleetDelta>& deltas,
                  Instant now) override;
   void on_revision(const FleetState& fleet, Instant now);
+  /// Tells which evacuations came into force and which ended.
+  void log_evacuations(const FleetState& fleet);
   void on_confirmed(Instant now) override;
   bool has_urgent_observations() override { return steering_.has_trouble(); }
   std::vector<TargetObservation> take_observations() override {
@@ -140,6 +142,7 @@
   bool was_ready_ = false;
   Instant started_at_ = monotonic_now();
   bool told_unconfirmed_ = false;
+  std::vector<EvacuatedZone> logged_evacuations_;
 };
 
 }  // namespace gorsevalve
--- /dev/null
+++ b/src/tasks/waiting_proposals.cc
@@ -0,0 +1,48 @@
+#include "tasks/waiting_proposals.h"
+
+#include <utility>
+
+#include "tasks/log.h"
+
+namespace gorsevalve {
+namespace {
+
+void log_decision(const WaitingProposals::Waiting& waiting, const ControlNode& node, bool committed,
+                  Instant now) {
+  nlohmann::json fields = {{"index", waiting.proposal.index},
+                           {"term", waiting.proposal.term},
+                           {"outcome", committed ? "acknowledged" : "unknown"},
+                           {"us", (now - waiting.proposed_at).count()}};
+  if (const auto* version = std::get_if<OperatorVersion>(&waiting.subject)) {
+    fields["version"] = *version;
+    log_event(LogEvent::kSteeringDecided, fields);
+  } else if (const auto* evacuation = std::get_if<EvacuationCommand>(&waiting.subject)) {
+    fields["zone"] = evacuation->zone;
+    fields["order"] = to_string(evacuation->order);
+    fields["pools_without_targets"] = pools_without_targets(node.state().fleet());
+    log_event(LogEvent::kEvacuationDecided, fields);
+  } else {
+    log_event(LogEvent::kRegistrationsDecided, fields);
+  }
+}
+
+}  // namespace
+
+void WaitingProposals::answer(const ControlNode& node, Instant now) {
+  std::vector<Waiting> still_waiting;
+  for (auto& waiting : std::exchange(waiting_, {})) {
+    const ProposalStatus status = node.status(waiting.proposal);
+    if (status == ProposalStatus::kPending && now < waiting.deadline) {
+      still_waiting.push_back(std::move(waiting));
+      continue;
+    }
+    const bool committed = status == ProposalStatus::kCommitted;
+    log_decision(waiting, node, committed, now);
+    for (const auto& callback : waiting.callbacks) {
+      callback({committed ? SteeringStatus::kAcknowledged : SteeringStatus::kUnknown, {}});
+    }
+  }
+  waiting_ = std::move(still_waiting);
+}
+
+}  // namespace gorsevalve
--- a/tests/unit/control_cluster.h
+++ b/tests/unit/control_cluster.h
@@ -102,6 +102,10 @@
 
   /// A process that stands still, and what is sent to it is lost; 0 for none.
   std::uint32_t frozen = 0;
+  /// Replicas to which everything gets lost, by their number.
+  std::array<bool, 4> lost_to{};
+  /// Loses all that was sent and has not arrived.
+  void drop_under_way() { queue_.clear(); }
 
  private:
   struct Letter {
@@ -114,7 +118,7 @@
   void deliver() {
     for (int round = 0; round < 10; ++round) {
       for (const auto& letter : std::exchange(queue_, {})) {
-        if (letter.to < 1 || letter.to > 3 || letter.to == frozen) {
+        if (letter.to < 1 || letter.to > 3 || letter.to == frozen || lost_to[letter.to]) {
           continue;
         }
         const Endpoint from{static_cast<std::uint32_t>(letter.from), 7000};
--- /dev/null
+++ b/tests/unit/test_evacuation.cc
@@ -0,0 +1,283 @@
+#include <doctest/doctest.h>
+
+#include "codec/archive.h"
+#include "control_cluster.h"
+#include "core/balancer/fleet_view.h"
+#include "core/control/control_state.h"
+#include "core/control/evacuation.h"
+
+namespace gorsevalve {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using namespace control_cluster;
+
+const EvacuationCommand kEvacuateA{"zone-a", EvacuationOrder::kEvacuate};
+const EvacuationCommand kEvacuateB{"zone-b", EvacuationOrder::kEvacuate};
+const EvacuationCommand kRestoreA{"zone-a", EvacuationOrder::kRestore};
+
+LogEntry entry(LogIndex index, const EvacuationCommand& command) {
+  return {1, index, EntryType::kEvacuation, encode_archive(command)};
+}
+
+RegisteredTarget target(TargetId id, const std::string& pool, const std::string& zone) {
+  RegisteredTarget result = announce(1);
+  result.id = id;
+  result.pool = pool;
+  result.zone = zone;
+  return result;
+}
+
+/// The zones that are evacuated by what a replica has committed.
+std::vector<std::string> evacuated_at(ControlNode& node) {
+  std::vector<std::string> zones;
+  for (const auto& evacuated : node.state().fleet().steering.evacuated_zones) {
+    zones.push_back(evacuated.zone);
+  }
+  return zones;
+}
+
+/// A cluster that has a leader.
+struct LedCluster {
+  LedCluster() {
+    cluster.run(seconds(3));
+    leader = cluster.leader();
+    REQUIRE(leader != 0);
+  }
+  ControlNode& led() { return cluster.node(leader); }
+  /// Freezes the leader until another one leads.
+  void lose_leader() {
+    cluster.frozen = leader;
+    cluster.run(seconds(5));
+    leader = cluster.leader();
+    REQUIRE(leader != 0);
+  }
+  Cluster cluster;
+  std::uint32_t leader = 0;
+};
+
+}  // namespace
+
+TEST_SUITE("evacuation") {
+  TEST_CASE("an order that is in force changes nothing, and keeps the revision of the first") {
+    ControlState state(8);
+    state.apply(entry(1, kEvacuateA));
+    state.apply(entry(2, kEvacuateA));
+    const std::vector<EvacuatedZone> expected = {{"zone-a", 1}};
+    CHECK(state.fleet().steering.evacuated_zones == expected);
+    CHECK(state.fleet().revision == 1);
+    state.apply(entry(3, EvacuationCommand{"zone-c", EvacuationOrder::kRestore}));
+    CHECK(state.fleet().revision == 1);
+  }
+
+  TEST_CASE("the later of two different orders holds, for its zone only") {
+    ControlState state(8);
+    state.apply(entry(1, kEvacuateB));
+    state.apply(entry(2, kEvacuateA));
+    const std::vector<EvacuatedZone> both = {{"zone-a", 2}, {"zone-b", 1}};
+    CHECK(state.fleet().steering.evacuated_zones == both);
+    state.apply(entry(3, kRestoreA));
+    const std::vector<EvacuatedZone> one = {{"zone-b", 1}};
+    CHECK(state.fleet().steering.evacuated_zones == one);
+    state.apply(entry(4, kEvacuateA));
+    CHECK(find_evacuation(state.fleet().steering, "zone-a")->since == 4);
+  }
+
+  TEST_CASE("evacuated zones are in the digest and survive a snapshot") {
+    ControlState state(8);
+    const std::uint64_t before = state.digest();
+    state.apply(entry(1, kEvacuateA));
+    CHECK(state.digest() != before);
+    ControlState restored(8);
+    restored.restore(state.save());
+    CHECK(restored.fleet() == state.fleet());
+    CHECK(restored.digest() == state.digest());
+    restored.apply(entry(2, kEvacuateA));
+    CHECK(restored.fleet().revision == 1);
+  }
+
+  TEST_CASE("a node that follows the deltas of orders has the same state") {
+    ControlState state(8);
+    FleetState node = state.fleet();
+    state.apply(entry(1, kEvacuateB));
+    state.apply(entry(2, kEvacuateA));
+    state.apply(entry(3, kRestoreA));
+    while (const FleetDelta* delta = state.delta_after(node.revision)) {
+      REQUIRE(apply_delta(node, *delta));
+    }
+    CHECK(node == state.fleet());
+    CHECK(fleet_digest(node) == state.digest());
+  }
+
+  TEST_CASE("known zones are the configured ones, those of targets, and the evacuated ones") {
+    FleetState fleet;
+    fleet.steering.targets = {target(1, "alpha", "zone-b"), target(2, "alpha", "")};
+    fleet.steering.evacuated_zones = {{"gone", 1}};
+    Service service;
+    service.targets.emplace_back().zone = "zone-s";
+    fleet.settings.services.push_back(service);
+    const std::vector<std::string> expected = {"gone", "zone-a", "zone-b", "zone-s"};
+    CHECK(known_zones({"zone-a", "zone-b"}, fleet) == expected);
+    CHECK(known_zones({}, FleetState{}).empty());
+    CHECK(unknown_zone_error("x", expected) ==
+          "there is no zone \"x\"; known zones: gone zone-a zone-b zone-s");
+    CHECK(unknown_zone_error("x", {}) == "there is no zone \"x\"; known zones: none");
+  }
+
+  TEST_CASE("pools and services that evacuations leave without targets are named") {
+    FleetState fleet;
+    fleet.steering.targets = {target(1, "alpha", "zone-a"), target(2, "beta", "zone-a"),
+                              target(3, "beta", "zone-b"), target(4, "gamma", "zone-a")};
+    fleet.steering.targets[3].phase = TargetPhase::kEnded;
+    Service service;
+    service.name = "s";
+    service.targets.emplace_back().zone = "zone-a";
+    service.targets.emplace_back().zone = "zone-b";
+    service.targets.back().draining = true;
+    fleet.settings.services.push_back(service);
+    CHECK(pools_without_targets(fleet).empty());
+    fleet.steering.evacuated_zones = {{"zone-a", 1}};
+    CHECK(pools_without_targets(fleet) == std::vector<std::string>{"alpha", "s"});
+  }
+
+  TEST_CASE("services that are relayed treat targets of an evacuated zone as draining") {
+    FleetState fleet;
+    fleet.partitions = 8;
+    Service service;
+    service.address = {1, 5683};
+    for (const std::uint32_t i : {1, 2}) {
+      Target& one = service.targets.emplace_back();
+      one.address = {10 + i, 5683};
+      one.zone = i == 1 ? "zone-a" : "zone-b";
+      one.weight = 100;
+    }
+    fleet.settings.services.push_back(service);
+    fleet.steering.evacuated_zones = {{"zone-a", 1}};
+    const FleetView view(fleet);
+    const ServiceView* served = view.service({1, 5683});
+    REQUIRE(served != nullptr);
+    for (std::uint16_t port = 1; port < 200; ++port) {
+      const FlowKey flow{{99, port}, {1, 5683}};
+      CHECK(view.first_choice(*served, flow)->zone == "zone-b");
+    }
+    fleet.steering.evacuated_zones.clear();
+    const FleetView returned(fleet, &view);
+    CHECK_FALSE(returned.target(*returned.service({1, 5683}), {11, 5683})->draining);
+  }
+
+  TEST_CASE("an order is decided by commit, at every replica, and holds after its leader is lost") {
+    LedCluster test;
+    const auto proposal = test.led().propose(kEvacuateA, test.cluster.now());
+    REQUIRE(proposal);
+    CHECK(test.led().status(*proposal) == ProposalStatus::kPending);
+    CHECK_FALSE(test.led().holds(kEvacuateA, test.cluster.now()));
+    test.cluster.run(milliseconds(200));
+    CHECK(test.led().status(*proposal) == ProposalStatus::kCommitted);
+    for (std::uint32_t i = 1; i <= 3; ++i) {
+      CHECK(evacuated_at(test.cluster.node(i)) == std::vector<std::string>{"zone-a"});
+    }
+    test.lose_leader();
+    CHECK(test.led().holds(kEvacuateA, test.cluster.now()));
+    CHECK_FALSE(test.led().holds(kRestoreA, test.cluster.now()));
+  }
+
+  TEST_CASE("a repeat after a lost answer is acknowledged by the next leader and changes nothing") {
+    LedCluster test;
+    REQUIRE(test.led().propose(kEvacuateA, test.cluster.now()));
+    test.cluster.run(milliseconds(200));
+    const Revision decided = test.led().state().fleet().revision;
+    test.lose_leader();
+    REQUIRE(test.led().holds(kEvacuateA, test.cluster.now()));
+    const auto again = test.led().propose(kEvacuateA, test.cluster.now());
+    REQUIRE(again);
+    test.cluster.run(milliseconds(200));
+    CHECK(test.led().status(*again) == ProposalStatus::kCommitted);
+    CHECK(test.led().state().fleet().steering.evacuated_zones[0].since == decided);
+  }
+
+  TEST_CASE("of two operators at once the later entry holds, and neither is told too early") {
+    LedCluster test;
+    REQUIRE(test.led().propose(kEvacuateA, test.cluster.now()));
+    // The committed state knows no evacuation yet, but one is under way.
+    CHECK_FALSE(test.led().holds(kRestoreA, test.cluster.now()));
+    const auto restore = test.led().propose(kRestoreA, test.cluster.now());
+    REQUIRE(restore);
+    test.cluster.run(milliseconds(200));
+    CHECK(test.led().status(*restore) == ProposalStatus::kCommitted);
+    CHECK(test.led().holds(kRestoreA, test.cluster.now()));
+    CHECK(evacuated_at(test.led()).empty());
+  }
+
+  TEST_CASE("followers acknowledge nothing by themselves") {
+    LedCluster test;
+    REQUIRE(test.led().propose(kEvacuateA, test.cluster.now()));
+    test.cluster.run(milliseconds(200));
+    ControlNode& follower = test.cluster.node(test.leader == 1 ? 2 : 1);
+    CHECK(evacuated_at(follower) == std::vector<std::string>{"zone-a"});
+    CHECK_FALSE(follower.holds(kEvacuateA, test.cluster.now()));
+    CHECK_FALSE(follower.propose(kRestoreA, test.cluster.now()));
+  }
+
+  TEST_CASE("without a majority nothing is acknowledged and nothing changes") {
+    LedCluster test;
+    const std::uint32_t alone = test.leader;
+    ControlNode& leader = test.led();
+    test.cluster.lost_to = {true, true, true, true};
+    test.cluster.lost_to[alone] = false;
+    const auto proposal = leader.propose(kEvacuateA, test.cluster.now());
+    REQUIRE(proposal);
+    for (int turn = 0; turn < 250; ++turn) {
+      CHECK(leader.status(*proposal) != ProposalStatus::kCommitted);
+      CHECK_FALSE(leader.holds(kEvacuateA, test.cluster.now()));
+      test.cluster.run(milliseconds(20));
+    }
+    CHECK_FALSE(leader.propose(kEvacuateA, test.cluster.now()));
+    for (std::uint32_t i = 1; i <= 3; ++i) {
+      CHECK(evacuated_at(test.cluster.node(i)).empty());
+    }
+  }
+
+  TEST_CASE("an order that reached no majority cannot undo a later one that was acknowledged") {
+    LedCluster test;
+    const std::uint32_t old_leader = test.leader;
+    // The old leader's entry stays with it: it stands still before it sends.
+    REQUIRE(test.led().propose(kEvacuateA, test.cluster.now()));
+    test.cluster.drop_under_way();
+    test.lose_leader();
+    REQUIRE(test.led().propose(kEvacuateB, test.cluster.now()));
+    test.cluster.run(milliseconds(200));
+    REQUIRE(test.led().holds(kRestoreA, test.cluster.now()));
+    test.cluster.frozen = 0;
+    test.cluster.run(seconds(5));
+    for (std::uint32_t i = 1; i <= 3; ++i) {
+      CHECK(evacuated_at(test.cluster.node(i)) == std::vector<std::string>{"zone-b"});
+    }
+    CHECK_FALSE(test.cluster.node(old_leader).holds(kEvacuateA, test.cluster.now()));
+  }
+
+  TEST_CASE("a target that turns cold again is one entry, and one when it is warm") {
+    SteeringState state;
+    const auto says = [&](std::uint64_t sequence, std::uint32_t warm_up_ms) {
+      RegistrationCommand command;
+      command.announced.push_back(announce(sequence));
+      command.announced.back().warm_up_ms = warm_up_ms;
+      const auto delta = steering_delta(state, command);
+      if (delta) {
+        apply_steering_delta(state, *delta);
+      }
+      return delta.has_value();
+    };
+    CHECK(says(1, 0));
+    CHECK_FALSE(says(2, 0));
+    CHECK(says(3, 30000));
+    CHECK_FALSE(says(4, 28800));
+    CHECK(state.targets[0].warm_up_ms == 30000);
+    CHECK(says(5, 0));
+    CHECK_FALSE(says(6, 0));
+    // Late ones say nothing.
+    CHECK_FALSE(says(4, 28800));
+  }
+}
+
+}  // namespace gorsevalve
--- a/tests/unit/test_flow_steering.cc
+++ b/tests/unit/test_flow_steering.cc
@@ -64,6 +64,28 @@
   FlowSteering steering{7};
 };
 
+/// Targets 1 and 2 in zone-a, 3 in zone-b.
+struct EvacuatedState {
+  EvacuatedState() {
+    for (auto& one : state.targets) {
+      one.zone = one.id == 3 ? "zone-b" : "zone-a";
+    }
+  }
+  [[nodiscard]] SteeringState evacuated() const {
+    SteeringState result = state;
+    result.evacuated_zones = {{"zone-a", 2}};
+    return result;
+  }
+  [[nodiscard]] static SteeringDelta change(std::vector<EvacuatedZone> evacuated) {
+    SteeringDelta delta;
+    delta.has_evacuations = true;
+    delta.evacuated_zones = std::move(evacuated);
+    return delta;
+  }
+  SteeringState state =
+      make_state({{"alpha", 1}}, {target(1, "alpha"), target(2, "alpha"), target(3, "alpha")});
+};
+
 /// A balancer with two targets that answer: flows 1 and 2 are open at the one that is to die, flow
 /// 3 at the other.
 struct DyingTarget {
@@ -522,6 +544,125 @@
     }
   }
 
+  TEST_CASE("targets of an evacuated zone get no new flow, by a whole state and by a change") {
+    EvacuatedState test;
+    SteeringBalancer by_whole(test.evacuated());
+    SteeringBalancer by_change(test.state);
+    by_change.steering.apply(test.change({{"zone-a", 2}}), kStart);
+    for (std::uint16_t port = 1; port < 100; ++port) {
+      for (SteeringBalancer* balancer : {&by_whole, &by_change}) {
+        const auto decision = balancer->steering.on_packet(opening(port), kStart);
+        REQUIRE(decision.action == SteeringAction::kForward);
+        CHECK(decision.target->zone == "zone-b");
+      }
+    }
+  }
+
+  TEST_CASE("a target that announces itself in an evacuated zone gets no new flow") {
+    EvacuatedState test;
+    SteeringBalancer balancer(test.evacuated());
+    SteeringDelta delta;
+    delta.upserted_targets = {target(1, "alpha"), target(9, "alpha")};
+    delta.upserted_targets[0].zone = delta.upserted_targets[1].zone = "zone-a";
+    balancer.steering.apply(delta, kStart);
+    for (std::uint16_t port = 1; port < 100; ++port) {
+      CHECK(balancer.steering.on_packet(opening(port), kStart).target->id == 3);
+    }
+  }
+
+  TEST_CASE("a copy of an opening does not go to the first target once its zone is evacuated") {
+    EvacuatedState test;
+    SteeringBalancer balancer(test.state);
+    for (std::uint16_t port = 1; port < 100; ++port) {
+      balancer.steering.on_packet(opening(port), kStart);
+    }
+    balancer.steering.apply(test.change({{"zone-a", 2}}), kStart);
+    for (std::uint16_t port = 1; port < 100; ++port) {
+      const auto copy = balancer.steering.on_packet(opening(port, 1), kStart + milliseconds(200));
+      REQUIRE(copy.action == SteeringAction::kForward);
+      CHECK(copy.target->zone == "zone-b");
+    }
+  }
+
+  TEST_CASE("a held opening does not go to a zone that was evacuated meanwhile") {
+    EvacuatedState test;
+    FlowSteering steering{7};
+    HeldPackets held{SteeringPolicy{}};
+    steering.adopt(test.state, kStart);
+    REQUIRE(steering.on_packet(opening(1), kStart).reason == SteeringReason::kNoState);
+    const Bytes bytes(32);
+    held.hold(opening(1), bytes, kStart);
+    steering.apply(test.change({{"zone-a", 2}}), kStart);
+    steering.confirm(kStart);
+    std::vector<std::string> zones;
+    held.release(steering, kStart, [&](const HeldPacket& packet) {
+      zones.push_back(steering.on_packet(packet.packet, kStart).target->zone);
+      return true;
+    });
+    CHECK(zones == std::vector<std::string>{"zone-b"});
+  }
+
+  TEST_CASE("open flows stay in an evacuated zone") {
+    EvacuatedState test;
+    SteeringBalancer balancer(test.state);
+    balancer.steering.on_packet(later(1, 101), kStart);
+    balancer.steering.apply(test.change({{"zone-a", 2}}), kStart);
+    const auto decision = balancer.steering.on_packet(later(1, 101, 2, 100), kStart);
+    CHECK(decision.action == SteeringAction::kForward);
+    CHECK(decision.target->id == 1);
+  }
+
+  TEST_CASE("callers are refused at once while all zones are evacuated, copies too") {
+    EvacuatedState test;
+    SteeringBalancer balancer(test.state);
+    balancer.steering.on_packet(opening(1), kStart);
+    balancer.steering.apply(test.change({{"zone-a", 2}, {"zone-b", 3}}), kStart);
+    for (const auto& packet : {opening(1, 1), opening(2)}) {
+      const auto decision = balancer.steering.on_packet(packet, kStart + milliseconds(200));
+      CHECK(decision.action == SteeringAction::kReset);
+      CHECK(decision.reason == SteeringReason::kNoTarget);
+    }
+  }
+
+  TEST_CASE("a zone that was taken back gets new flows like any other") {
+    EvacuatedState test;
+    SteeringBalancer balancer(test.evacuated());
+    balancer.steering.apply(test.change({}), kStart);
+    std::map<std::string, int> flows;
+    for (std::uint16_t port = 1; port <= 99; ++port) {
+      ++flows[balancer.steering.on_packet(opening(port), kStart).target->zone];
+    }
+    CHECK(flows["zone-a"] == 66);
+    CHECK(flows["zone-b"] == 33);
+  }
+
+  TEST_CASE("a target that turned cold again takes less, until it is warm") {
+    SteeringState state = make_state({{"alpha", 1}}, {target(1, "alpha"), target(2, "alpha")});
+    SteeringBalancer balancer(state);
+    const auto flows_at_first = [&](std::uint16_t first_port) {
+      int flows = 0;
+      for (std::uint16_t port = first_port; port < first_port + 60; ++port) {
+        flows += balancer.steering.on_packet(opening(port), kStart).target->id == 1 ? 1 : 0;
+      }
+      return flows;
+    };
+    CHECK(flows_at_first(1000) == 30);
+    SteeringDelta cold;
+    cold.upserted_targets = {target(1, "alpha")};
+    cold.upserted_targets[0].sequence = 1;
+    cold.upserted_targets[0].warm_up_ms = 30000;
+    balancer.steering.apply(cold, kStart);
+    CHECK(balancer.steering.scores().find(1)->warm_at == kStart + seconds(30));
+    CHECK(flows_at_first(2000) < 20);
+    // The same announcement in a later state does not begin it anew.
+    balancer.steering.apply(cold, kStart + seconds(10));
+    CHECK(balancer.steering.scores().find(1)->warm_at == kStart + seconds(30));
+    cold.upserted_targets[0].sequence = 2;
+    cold.upserted_targets[0].warm_up_ms = 0;
+    balancer.steering.apply(cold, kStart + seconds(20));
+    CHECK(balancer.steering.scores().find(1)->warm_at == kStart + seconds(20));
+  }
+
   TEST_CASE(
       "what another balancer could not reach is probed where it has flows, and nowhere else") {
     DyingTarget test;
