--- a/src/tasks/http_server.cc
+++ b/src/tasks/http_server.cc
@@ -77,6 +77,7 @@
   HttpRequest copy;
   copy.method = to_string(request->method);
   copy.path = to_string(request->path_normalized);
+  copy.sent_path = to_string(request->path);
   if (request->query_at != SIZE_MAX) {
     copy.query = to_string(request->path).substr(request->query_at + 1);
   }
--- a/src/tasks/http_server.h
+++ b/src/tasks/http_server.h
@@ -15,8 +15,10 @@
 
 struct HttpRequest {
   std::string method;
-  /// Path without the query.
+  /// Path without the query, decoded.
   std::string path;
+  /// Path as it was sent, with the query: what a redirect repeats.
+  std::string sent_path;
   std::string query;
   std::string body;
   /// Value of the Authorization header, or "".
