--- a/tests/integration/test_planned_changes.py
+++ b/tests/integration/test_planned_changes.py
@@ -38,6 +38,42 @@
             after_drain_ms = since_drain_ms - records[name]["last_new_work_ms_ago"]
             self.assertLess(after_drain_ms, 3000)
 
+    def test_an_evacuated_zone_gets_no_new_work_until_it_is_taken_back(self):
+        code, output = self.fleet.operator("evacuate", "nowhere")
+        self.assertEqual(code, 2, output)
+        self.assertIn("known zones: zone-a zone-b zone-c", output)
+
+        callers = [self.start_load(12)]
+        time.sleep(1)
+        code, output = self.fleet.operator("evacuate", "zone-b")
+        self.assertEqual(code, 0, output)
+        ordered_at = time.monotonic()
+        since = self.status()["evacuated_zones"][0]["since_revision"]
+        code, output = self.fleet.operator("evacuate", "zone-b")
+        self.assertEqual(code, 0, output)
+        self.assertEqual(self.status()["evacuated_zones"],
+                         [{"zone": "zone-b", "since_revision": since}])
+        code, output = self.fleet.operator("status")
+        self.assertIn(f"evacuated: zone-b since revision {since}", output)
+        results = [self.fleet.caller_result(process, 60) for process in callers]
+        self.check_promises(results)
+        self.check_nothing_cut(results)
+        since_order_ms = (time.monotonic() - ordered_at) * 1000
+        records = self.fleet.target_records()
+        # Of the service's six targets, the first and the fourth are there.
+        for name in ("main-1", "main-4"):
+            after_order_ms = since_order_ms - records[name]["last_new_work_ms_ago"]
+            self.assertLess(after_order_ms, 3000)
+
+        code, output = self.fleet.operator("evacuate", "zone-c")
+        self.assertEqual(code, 0, output)
+        self.assertIn("without targets: archive", output)
+        for zone in ("zone-b", "zone-c"):
+            code, output = self.fleet.operator("restore", zone)
+            self.assertEqual(code, 0, output)
+        self.assertEqual(self.status()["evacuated_zones"], [])
+        self.assertEqual(self.status()["without_targets"], [])
+
     def test_conflict_and_resend(self):
         """Of two files on one base the second is refused; a resend gives the first outcome."""
         base = str(self.status()["settings_revision"])
