Free connections and timers only when nobody up the stack works on them

Cause: FrameNetwork::take_frames held a reference to its connection over the receiver. A late frame with figures led to a conclusion, that to a tick of the control client, and that to dropping the very replica as silent: the connection was freed and then used (heap-use-after-free in take_frames and in close, shown under the address sanitizer with a receiver that drops its peer, drops it and refuses the frame, or sends to it after 1.5 s of silence).

Two further ones of the class, found by reading and shown by tests that failed first: - a peer that names another address than was dialled stood in by_peer_ twice; closing its connection left one entry behind, and the next send used what was freed (heap-use-after-free in find_live); - EventLoop::after gave back timers that had fired while h2o still ran the latest of them: h2o runs sockets that became ready between two timers (SIGSEGV in h2o_timeout_run).

Change: a closed connection is freed in a later turn of the loop, by a timer, and says that it is closed; all entries of a connection go with it. Timers that fired are given back once the loop's time has moved on. A balancer that concluded something ticks its control client in the next turn, not in the middle of an answer that the client has not noted yet. Answers to submissions and proposals keep what a callback adds meanwhile (it was overwritten; nothing does so today, so there is no test).

Ruled out by reading: TargetProber (closes before it calls back, and uses nothing of the probe after), UdpSocket, Listener, HttpServer and HttpClient (h2o keeps sockets until its next turn), held calls and proposals (exchanged before they are called), HeldPackets, pointers into SteeringView (targets stay in a node map until they are forgotten) and FlowEntry (found anew after each insertion).

--- a/src/core/balancer/control_client.cc
+++ b/src/core/balancer/control_client.cc
@@ -77,13 +77,14 @@
   if (sent == heartbeats_sent_.end()) {
     return;
   }
-  const Instant until = sent->second + std::chrono::milliseconds(reply.lease_ms);
+  const Instant sent_at = sent->second;
+  const Instant until = sent_at + std::chrono::milliseconds(reply.lease_ms);
   lease_until_ = std::max(lease_until_, until);
   output_.on_lease(lease_until_);
   may_stop_ = may_stop_ || (reply.may_stop && self_.state == MemberState::kLeaving);
   if (reply.is_current) {
     current_revision_ = std::max(current_revision_.value_or(0), reply.revision);
-    freshness_.on_answer(sent->second, reply.revision);
+    freshness_.on_answer(sent_at, reply.revision);
   }
   if (reply.figures) {
     take_figures(*reply.figures);
--- a/src/tasks/control_task.cc
+++ b/src/tasks/control_task.cc
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "tasks/log.h"
@@ -221,6 +222,8 @@
       still_waiting.push_back(std::move(waiting));
     }
   }
+  // A callback may have submitted more.
+  std::move(waiting_.begin(), waiting_.end(), std::back_inserter(still_waiting));
   waiting_ = std::move(still_waiting);
 }
 
@@ -368,6 +371,8 @@
       callback({committed ? SteeringStatus::kAcknowledged : SteeringStatus::kUnknown, {}});
     }
   }
+  // A callback may have proposed more.
+  std::move(proposals_.begin(), proposals_.end(), std::back_inserter(still_waiting));
   proposals_ = std::move(still_waiting);
 }
 
--- a/src/tasks/event_loop.cc
+++ b/src/tasks/event_loop.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <optional>
 #include <utility>
 
 namespace gorsevalve {
@@ -24,7 +25,8 @@
   h2o_timeout_t timeout{};
   h2o_loop_t* loop = nullptr;
   bool repeats = false;
-  bool finished = false;
+  /// The loop's time when it fired for the last time.
+  std::optional<std::uint64_t> finished_at;
   std::function<void()> action;
 
   ~Timer() {
@@ -38,7 +40,9 @@
       h2o_timeout_link(timer->loop, &timer->timeout, &timer->entry);
     }
     timer->action();
-    timer->finished = !timer->repeats;
+    if (!timer->repeats) {
+      timer->finished_at = h2o_now(timer->loop);
+    }
   }
 };
 
@@ -68,8 +72,17 @@
   timers_.back()->repeats = true;
 }
 
+void EventLoop::drop_finished_timers() {
+  // h2o still holds a timer that has fired while it runs sockets that became ready meanwhile, and
+  // goes on from it to the next one; it lets go of it before its time moves on.
+  const std::uint64_t now = h2o_now(loop_);
+  std::erase_if(timers_, [now](const std::unique_ptr<Timer>& timer) {
+    return timer->finished_at && *timer->finished_at != now;
+  });
+}
+
 void EventLoop::after(Duration delay, std::function<void()> action) {
-  std::erase_if(timers_, [](const std::unique_ptr<Timer>& timer) { return timer->finished; });
+  drop_finished_timers();
   auto timer = std::make_unique<Timer>();
   timer->loop = loop_;
   timer->action = std::move(action);
--- a/src/tasks/event_loop.h
+++ b/src/tasks/event_loop.h
@@ -35,11 +35,14 @@
   /// messages to each other.
   void post(std::function<void()> action);
 
+  /// Timers that are held, those that have fired lately among them.
+  [[nodiscard]] std::size_t timers() const { return timers_.size(); }
   [[nodiscard]] h2o_loop_t* raw() { return loop_; }
 
  private:
   struct Timer;
   struct Letter;
+  void drop_finished_timers();
   static void on_letters(h2o_multithread_receiver_t* receiver, h2o_linklist_t* messages);
 
   h2o_loop_t* loop_;
--- a/src/tasks/frame_network.cc
+++ b/src/tasks/frame_network.cc
@@ -51,7 +51,10 @@
 }  // namespace
 
 struct FrameNetwork::Connection {
+  [[nodiscard]] bool is_closed() const { return socket == nullptr; }
+
   FrameNetwork* network = nullptr;
+  /// nullptr once it is closed.
   h2o_socket_t* socket = nullptr;
   bool connected = false;
   /// When the attempt to connect began.
@@ -226,6 +229,9 @@
     if (!sender) {
       return false;
     }
+    if (connection.is_closed()) {
+      return true;
+    }
     if (connection.peer != sender || by_peer_[*sender] != &connection) {
       connection.peer = sender;
       by_peer_[*sender] = &connection;
@@ -363,15 +369,23 @@
 }
 
 void FrameNetwork::close(Connection& connection) {
-  if (connection.peer) {
-    const auto found = by_peer_.find(*connection.peer);
-    if (found != by_peer_.end() && found->second == &connection) {
-      by_peer_.erase(found);
-    }
+  if (connection.is_closed()) {
+    return;
   }
-  h2o_socket_close(connection.socket);
-  connections_.remove_if(
-      [&](const std::unique_ptr<Connection>& held) { return held.get() == &connection; });
+  // A peer that named another address than the one that was dialled is known by both.
+  std::erase_if(by_peer_, [&](const auto& entry) { return entry.second == &connection; });
+  h2o_socket_close(std::exchange(connection.socket, nullptr));
+  const auto held = std::find_if(connections_.begin(), connections_.end(),
+                                 [&](const auto& one) { return one.get() == &connection; });
+  closed_.splice(closed_.end(), connections_, held);
+  if (closed_.size() > 1) {
+    return;
+  }
+  loop_.after(Duration::zero(), [this, lives = std::weak_ptr<bool>(lives_)] {
+    if (!lives.expired()) {
+      closed_.clear();
+    }
+  });
 }
 
 }  // namespace gorsevalve
--- a/src/tasks/frame_network.h
+++ b/src/tasks/frame_network.h
@@ -1,6 +1,7 @@
 /// Messages over TCP between control replicas and balancers: sealed messages with a length before
 /// each. A process is known by the address that its messages name; replies go over the connection
-/// on which the peer was heard last, and replicas are dialled when there is none.
+/// on which the peer was heard last, and replicas are dialled when there is none. A receiver may
+/// call anything here but the destructor, also what closes the connection it was called from.
 #pragma once
 
 #include <deque>
@@ -84,6 +85,8 @@
   void on_refused(Connection& connection);
   void on_read(Connection& connection, const char* error);
   void write_next(Connection& connection);
+  /// Ends a connection for good; it is freed in a later turn of the loop, since a caller up the
+  /// stack may still work on it.
   void close(Connection& connection);
   /// The connection to a peer, or the latest attempt; nullptr when there is none that is worth
   /// waiting for. One that has been silent for too long is closed.
@@ -102,6 +105,8 @@
   Duration idle_timeout_;
   std::unique_ptr<Listener> listener_;
   std::list<std::unique_ptr<Connection>> connections_;
+  /// Connections that were closed in this turn of the loop.
+  std::list<std::unique_ptr<Connection>> closed_;
   /// The connection, or the latest attempt to connect, of each peer.
   std::map<Endpoint, Connection*> by_peer_;
   /// Frames for peers whose latest attempt was refused.
--- a/src/tasks/steering_task.cc
+++ b/src/tasks/steering_task.cc
@@ -123,8 +123,9 @@
   }
   if (!unreachable.empty()) {
     socket_->flush();
-    // Others with flows there should look for themselves soon.
-    control_.on_tick(0, now);
+    // Others with flows there should look for themselves soon. The control client may be up the
+    // stack, with an answer that it has not noted yet: it goes on in the next turn.
+    loop_.post([this] { control_.on_tick(0, monotonic_now()); });
   }
   if (steering_.is_probing() && !steps_probes_) {
     steps_probes_ = true;
--- a/tests/unit/test_frame_network.cc
+++ b/tests/unit/test_frame_network.cc
@@ -2,6 +2,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <functional>
+
 #include "free_endpoint.h"
 #include "tasks/dial_attempts.h"
 #include "tasks/frame_network.h"
@@ -15,6 +17,57 @@
 /// Turns of the loop of at most 10 ms each, so that a failure ends.
 constexpr int kMaxTurns = 1000;
 
+/// Two networks on one loop: one asks, the other one answers with several frames at once.
+class Conversation {
+ public:
+  /// What the asking one does with each frame that it gets.
+  using OnAnswer = std::function<std::optional<Endpoint>(FrameNetwork& asking)>;
+
+  Conversation(std::size_t answers, OnAnswer on_answer)
+      : answers_(answers),
+        asking_(loop_,
+                [this, on_answer = std::move(on_answer)](ByteView /*frame*/) {
+                  ++heard;
+                  return on_answer(asking_);
+                }),
+        answering_(loop_, [this](ByteView /*frame*/) {
+          // The connection of the one that asks is known from the next turn on.
+          loop_.after(milliseconds(1), [this] { answer(); });
+          return std::optional(kAsking);
+        }) {
+    REQUIRE(answering_.listen(peer).has_value());
+  }
+
+  /// Runs the loop until frames came, and some turns more.
+  void run_until_heard(int frames) {
+    for (int turn = 0; turn < kMaxTurns && heard < frames; ++turn) {
+      h2o_evloop_run(loop_.raw(), 10);
+    }
+    for (int turn = 0; turn < 10; ++turn) {
+      h2o_evloop_run(loop_.raw(), 1);
+    }
+  }
+
+  FrameNetwork& asking() { return asking_; }
+
+  const Endpoint peer = free_endpoint();
+  int heard = 0;
+
+ private:
+  static constexpr Endpoint kAsking{kLoopback, 1};
+
+  void answer() {
+    for (std::size_t i = 0; i < answers_; ++i) {
+      answering_.send(kAsking, {'y'}, false);
+    }
+  }
+
+  EventLoop loop_;
+  std::size_t answers_;
+  FrameNetwork asking_;
+  FrameNetwork answering_;
+};
+
 }  // namespace
 
 TEST_SUITE("frame_network") {
@@ -113,6 +166,62 @@
     CHECK(heard == "ask");
     CHECK(answered == "yes");
   }
+
+  TEST_CASE("a receiver may drop the peer whose frame it reads") {
+    // A late answer of a replica led to a look at all replicas, and to its own being dropped as
+    // silent: the network went on with a connection that was freed.
+    Conversation conversation(3, [&](FrameNetwork& asking) {
+      asking.drop(conversation.peer);
+      return std::optional(conversation.peer);
+    });
+    conversation.asking().send(conversation.peer, {'a'}, true);
+    conversation.run_until_heard(1);
+    // What came after the first frame went with the connection.
+    CHECK(conversation.heard == 1);
+    // Nothing of the old connection is left: the peer is dialled again.
+    CHECK_FALSE(conversation.asking().send(conversation.peer, {'a'}, false));
+    CHECK(conversation.asking().send(conversation.peer, {'a'}, true));
+    conversation.run_until_heard(2);
+    CHECK(conversation.heard == 2);
+  }
+
+  TEST_CASE("a receiver may drop its peer and refuse the frame") {
+    Conversation conversation(3, [&](FrameNetwork& asking) {
+      asking.drop(conversation.peer);
+      return std::optional<Endpoint>();
+    });
+    conversation.asking().send(conversation.peer, {'a'}, true);
+    conversation.run_until_heard(1);
+    CHECK(conversation.heard == 1);
+  }
+
+  TEST_CASE("a receiver may send a frame that gives up the connection it reads from") {
+    // The frame before was not answered for longer than a peer may stay silent: what is sent to the
+    // peer closes the connection.
+    Conversation conversation(3, [&](FrameNetwork& asking) {
+      asking.send(conversation.peer, {'a'}, true);
+      ::usleep(1600 * 1000);
+      asking.send(conversation.peer, {'a'}, true);
+      return std::optional(conversation.peer);
+    });
+    conversation.asking().send(conversation.peer, {'a'}, true);
+    conversation.run_until_heard(1);
+    CHECK(conversation.heard >= 1);
+    CHECK(conversation.asking().counters().connections_given_up >= 1);
+  }
+
+  TEST_CASE("a peer that names another address is found by both until its connection ends") {
+    // The connection was found by the address that was dialled, after it had been closed.
+    const Endpoint other{kLoopback, 2};
+    Conversation conversation(1, [&](FrameNetwork& /*asking*/) { return std::optional(other); });
+    conversation.asking().send(conversation.peer, {'a'}, true);
+    conversation.run_until_heard(1);
+    REQUIRE(conversation.heard == 1);
+    CHECK(conversation.asking().send(other, {'a'}, false));
+    CHECK(conversation.asking().send(conversation.peer, {'a'}, false));
+    conversation.asking().drop(other);
+    CHECK_FALSE(conversation.asking().send(conversation.peer, {'a'}, false));
+  }
 }
 
 }  // namespace gorsevalve
