Blame no target for what a balancer's own congested link keeps back

Cause: a balancer whose link is full hears answers late or not at all.

Change: FlowSteering::set_link_congested(is_congested, now) tells of the own link (LinkModel's is_congested; the caller wires it). While the link is congested, or was since the packet in question: - a repetition of data raises no suspicion before the third one (1.4 s after the request), which still finds out refusals; - copies of openings, openings that nothing follows and requests without an answer blame nobody; - silence of probes decides nothing. A case that met congestion is probed anew once the link is free: only probes and references sent since then count. It is dropped after a second of waiting. Refusals count whatever the link does. New data of a transfer shows that its target acknowledges: it ends a count of repetitions, and a transfer that goes on is not stalled, however long it takes.

Ruled out: concluding by more probes on a busy link (losses of the own queue come together, so the silence of several probes is one piece of evidence).

--- a/src/core/steering/flow_steering.cc
+++ b/src/core/steering/flow_steering.cc
@@ -20,6 +20,9 @@
 /// Where answers usually take longer than this, the first repetition tells of a queue, not of a
 /// dead target: targets acknowledge a lone packet with its answer, or when it comes again.
 constexpr double kPromptAnswerUs = 100e3;
+/// A repetition that the own link may have caused is no sign, but the third one, 1.4 s after the
+/// request, is: silence of probes proves nothing on a busy link, a refusal still does.
+constexpr std::uint32_t kRepeatsOnBusyLink = 3;
 /// Targets that are probed beside a suspected one: one of them may die at the same moment.
 constexpr std::size_t kReferences = 2;
 }  // namespace
@@ -109,6 +112,14 @@
   requests_.clear();
 }
 
+void FlowSteering::set_link_congested(bool is_congested, Instant now) {
+  is_link_congested_ = is_congested;
+  if (is_congested) {
+    congested_at_ = now;
+  }
+  reachability_.set_link_congested(is_congested, now);
+}
+
 SteeringDecision FlowSteering::on_packet(const CallerPacket& packet, Instant now) {
   if (!has_settings()) {
     return {SteeringAction::kDrop, SteeringReason::kNoState, nullptr};
@@ -152,8 +163,10 @@
                         view_.may_reach(frontend, *before);
     if (!entry->has_copy) {
       entry->has_copy = true;
-      scores_.on_unanswered(entry->target, now);
-      suspect(entry->target, now);
+      if (!may_be_own_link(entry->last_seen)) {
+        scores_.on_unanswered(entry->target, now);
+        suspect(entry->target, now);
+      }
     }
     const bool is_doubted =
         scores_.is_suspected(entry->target, now) || reachability_.is_unreachable(entry->target);
@@ -293,6 +306,7 @@
     entry.request_since = now;
     entry.sequence = packet.sequence;
     entry.data_at = now;
+    entry.new_data_at = now;
     entry.repeats = 0;
     scores_.on_request(entry.target);
     if (now >= observes_from_) {
@@ -305,14 +319,22 @@
 void FlowSteering::note_repeat(FlowEntry& entry, const CallerPacket& packet, Instant now) {
   // Differences of places that wrap around compare as signed numbers.
   if (static_cast<std::int32_t>(packet.sequence - entry.sequence) > 0) {
+    // A transfer that goes on: its target acknowledges what went before.
     entry.sequence = packet.sequence;
+    entry.data_at = now;
+    entry.new_data_at = now;
+    entry.repeats = 0;
     return;
   }
   if (now - entry.data_at < kRepeatedAfter) {
     return;
   }
+  const bool is_explained = may_be_own_link(entry.data_at);
   entry.data_at = now;
   ++entry.repeats;
+  if (is_explained && entry.repeats < kRepeatsOnBusyLink) {
+    return;
+  }
   const TargetScore& score = scores_.at(entry.target);
   const bool answered_others = score.answer_at > *entry.request_since;
   const bool is_prompt = score.answer_us > 0 && score.answer_us < kPromptAnswerUs;
@@ -370,7 +392,8 @@
     const Expectation& opening = openings_.front();
     const FlowEntry* entry = flows_.find(opening.flow);
     const bool is_refused = entry != nullptr && entry->phase == FlowPhase::kOpening &&
-                            entry->target == opening.target && !entry->has_copy;
+                            entry->target == opening.target && !entry->has_copy &&
+                            !may_be_own_link(opening.at);
     if (is_refused) {
       scores_.on_refused(opening.target, now);
     }
@@ -382,8 +405,10 @@
   while (!requests_.empty() && now - requests_.front().at >= kStalledAfter) {
     const Expectation& request = requests_.front();
     const FlowEntry* entry = flows_.find(request.flow);
-    const bool is_stalled = entry != nullptr && entry->target == request.target &&
-                            entry->phase == FlowPhase::kOpen && entry->request_since == request.at;
+    const bool is_stalled =
+        entry != nullptr && entry->target == request.target && entry->phase == FlowPhase::kOpen &&
+        entry->request_since == request.at && now - entry->new_data_at >= kStalledAfter &&
+        !may_be_own_link(request.at);
     if (is_stalled) {
       scores_.on_stalled(request.target);
     }
--- a/src/core/steering/flow_steering.h
+++ b/src/core/steering/flow_steering.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <deque>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -92,6 +93,11 @@
   /// Notes openings and requests that were not followed by what should follow. Often and cheap.
   void check_expectations(Instant now);
 
+  /// Tells whether this machine's own link is so busy that packets and answers may be late or lost
+  /// on it (LinkModel::is_congested). What does not come back then blames no target. To be told
+  /// before packets and steps of probes; a link that nobody tells of is free.
+  void set_link_congested(bool is_congested, Instant now);
+
   /// For the exchange with other balancers.
   [[nodiscard]] std::vector<TargetObservation> take_observations() {
     return scores_.take_observations();
@@ -137,6 +143,10 @@
   void note_request(FlowEntry& entry, const CallerPacket& packet, Instant now);
   /// Notes data that the caller sends again since its target did not acknowledge it.
   void note_repeat(FlowEntry& entry, const CallerPacket& packet, Instant now);
+  /// True when the own link may have kept back what went to a target since then, or its answer.
+  [[nodiscard]] bool may_be_own_link(Instant since) const {
+    return is_link_congested_ || (congested_at_ && *congested_at_ >= since);
+  }
   void suspect(TargetId target, Instant now);
   /// Notes that those others at the target's address that the condition names are gone.
   template <typename Condition>
@@ -162,6 +172,9 @@
   /// Flows that were placed, and requests that began lately, in order.
   std::deque<Expectation> openings_;
   std::deque<Expectation> requests_;
+  bool is_link_congested_ = false;
+  /// When the own link was known to be congested last.
+  std::optional<Instant> congested_at_;
   TargetScores scores_;
   TargetReachability reachability_;
   SteeringFaults faults_;
--- a/src/core/steering/flow_table.h
+++ b/src/core/steering/flow_table.h
@@ -41,7 +41,10 @@
   std::uint32_t sequence = 0;
   /// When data of that request was sent for the first time, or again.
   Instant data_at;
-  /// How often the caller had to send data of that request again.
+  /// When data of that request that had not been sent before came last: a caller sends more than
+  /// fits under way at once only when its target acknowledged what was before.
+  Instant new_data_at;
+  /// How often the caller had to send data of that request again since then.
   std::uint32_t repeats = 0;
 };
 
--- a/src/core/steering/target_reachability.cc
+++ b/src/core/steering/target_reachability.cc
@@ -23,6 +23,10 @@
 constexpr int kAnswerTimes = 4;
 /// Without an answer of a reference in this time, the suspicion is dropped undecided.
 constexpr Duration kUndecidedAfter = milliseconds(400);
+/// A suspicion whose probes met congestion is dropped undecided after this time, so that its place
+/// is free for others: while the link stays busy, a caller's next copy, at 0.6, 1.4 or 3 s, renews
+/// it.
+constexpr Duration kLongestCase = seconds(1);
 /// A target that answered is not suspected again for this long: callers repeat data at targets with
 /// a long queue, too, and each probe costs the target something.
 constexpr Duration kClearedFor = seconds(1);
@@ -67,6 +71,26 @@
   Case& suspected = cases_[target];
   suspected.references = references;
   suspected.since = now;
+  suspected.probing_since = now;
+  suspected.met_congestion = is_link_congested_;
+}
+
+void TargetReachability::set_link_congested(bool is_congested, Instant now) {
+  is_link_congested_ = is_congested && !faults_.ignore_congestion;
+  for (auto& [target, suspected] : cases_) {
+    if (is_link_congested_) {
+      suspected.met_congestion = true;
+    } else if (suspected.met_congestion) {
+      begin_again(suspected, now);
+    }
+  }
+}
+
+void TargetReachability::begin_again(Case& suspected, Instant now) {
+  suspected.probing_since = now;
+  suspected.probes = 0;
+  suspected.reference_took.reset();
+  suspected.met_congestion = false;
 }
 
 void TargetReachability::on_progress(TargetId target, Instant now) {
@@ -110,7 +134,7 @@
 
 void TargetReachability::probe_cases(Instant now, std::vector<ProbeRequest>& out) {
   for (auto& [target, suspected] : cases_) {
-    const bool is_due = suspected.probes == 0 || now - suspected.probed_at >= kStepInterval;
+    const bool is_due = now - suspected.probed_at >= kStepInterval;
     if (!is_due || suspected.probes >= kProbes) {
       continue;
     }
@@ -183,7 +207,9 @@
 
 void TargetReachability::on_reference_answer(const SentProbe& probe, Instant now) {
   const auto found = cases_.find(probe.reference_for);
-  if (found != cases_.end() && !found->second.reference_took) {
+  // What was probed before the link was free says nothing of the time that counts.
+  const bool counts = found != cases_.end() && probe.at >= found->second.probing_since;
+  if (counts && !found->second.reference_took) {
     found->second.reference_took = now - probe.at;
   }
 }
@@ -224,7 +250,7 @@
   if (suspected.refusals >= kRefusals) {
     return UnreachableReason::kRefused;
   }
-  if (suspected.probes < kProbes) {
+  if (suspected.probes < kProbes || suspected.met_congestion) {
     return std::nullopt;
   }
   const Duration reference_took = suspected.reference_took.value_or(Duration::zero());
@@ -233,6 +259,13 @@
   return is_silent ? std::optional(UnreachableReason::kSilent) : std::nullopt;
 }
 
+bool TargetReachability::is_undecided(const Case& suspected, Instant now) {
+  if (suspected.met_congestion) {
+    return now - suspected.since > kLongestCase;
+  }
+  return suspected.probes >= kProbes && now - suspected.probed_at > kUndecidedAfter;
+}
+
 std::vector<UnreachableTarget> TargetReachability::conclude(Instant now) {
   std::vector<UnreachableTarget> concluded;
   std::vector<TargetId> undecided;
@@ -240,7 +273,7 @@
     const auto reason = verdict(target, suspected, now);
     if (reason) {
       concluded.push_back({target, *reason, now - suspected.since, suspected.probes});
-    } else if (suspected.probes >= kProbes && now - suspected.probed_at > kUndecidedAfter) {
+    } else if (is_undecided(suspected, now)) {
       undecided.push_back(target);
     }
   }
--- a/src/core/steering/target_reachability.h
+++ b/src/core/steering/target_reachability.h
@@ -6,8 +6,10 @@
 ///
 /// A target counts as unreachable when its probes came to nothing or were refused, while a probe of
 /// another target, sent between them, was answered: so neither a slow balancer nor one that is cut
-/// off blames a target. Each balancer concludes for itself, by its own path to the target. What
-/// others concluded only makes it look for itself.
+/// off blames a target. While this machine's own link is congested, silence proves nothing: probes
+/// and answers may have been lost on it. Only refusals count then, and a case that met congestion
+/// is probed anew once the link is free. Each balancer concludes for itself, by its own path to the
+/// target. What others concluded only makes it look for itself.
 #pragma once
 
 #include <absl/container/flat_hash_map.h>
@@ -64,6 +66,8 @@
   bool trust_suspicions = false;
   /// Counts the silence of probes without an answer of another target.
   bool ignore_references = false;
+  /// Counts the silence of probes while the own link is congested.
+  bool ignore_congestion = false;
 };
 
 class TargetReachability {
@@ -79,6 +83,9 @@
   void on_replaced(TargetId target) { replaced_.insert(target); }
   /// A caller got something from the target: it lives and can be reached.
   void on_progress(TargetId target, Instant now);
+  /// Tells whether this machine's own link is so busy that answers may be late or lost. To be told
+  /// before each step; a link that nobody tells of is free.
+  void set_link_congested(bool is_congested, Instant now);
   void on_answer(std::uint64_t probe, ProbeAnswer answer, Instant now);
   /// A probe could not be sent: what it would have shown stays open.
   void on_not_sent(std::uint64_t probe, Instant now);
@@ -109,10 +116,15 @@
   struct Case {
     std::vector<TargetId> references;
     Instant since;
+    /// When the probes that count began: with the suspicion, or when the link was free again.
+    Instant probing_since;
     /// When the last probe was sent.
     Instant probed_at;
+    /// Probes that count.
     std::uint32_t probes = 0;
     std::uint32_t refusals = 0;
+    /// The own link was congested since then, so that silence counts for nothing.
+    bool met_congestion = false;
     /// How long the first reference to answer took.
     std::optional<Duration> reference_took;
   };
@@ -128,6 +140,10 @@
   void probe_cases(Instant now, std::vector<ProbeRequest>& out);
   void probe_unreachable(Instant now, std::vector<ProbeRequest>& out);
   void drop_expired(Instant now);
+  /// Probes a target anew whose probes met congestion.
+  static void begin_again(Case& suspected, Instant now);
+  /// True when nothing can be concluded any more from the probes of a suspicion.
+  [[nodiscard]] static bool is_undecided(const Case& suspected, Instant now);
   /// Ends a suspicion without a conclusion.
   void leave_undecided(TargetId target, Instant now);
   void on_reference_answer(const SentProbe& probe, Instant now);
@@ -138,6 +154,7 @@
                                                          Instant now) const;
 
   ReachabilityFaults faults_;
+  bool is_link_congested_ = false;
   std::uint64_t last_probe_ = 0;
   /// Ordered, so that what is sent and concluded does not depend on the order of a hash map.
   std::map<TargetId, Case> cases_;
--- a/tests/sim/test_reachability_workload.cc
+++ b/tests/sim/test_reachability_workload.cc
@@ -1,9 +1,10 @@
 /// A seeded workload over several balancers and targets that die, restart at their address, freeze
 /// for a while, get cut off from some balancers, or only answer slowly, while packets and probes
-/// are lost and balancers stand still. Checked after each conclusion: a balancer never takes a
-/// target for unreachable that lives and that it can reach, and has been able to for a while.
-/// Checked at the end of each death: callers with open flows were told within two seconds of their
-/// request.
+/// are lost and balancers stand still. In one form the links of balancers get congested, too: what
+/// they send is then late or lost, packets, probes and all. Checked after each conclusion: a
+/// balancer never takes a target for unreachable that lives and that it can reach, and has been
+/// able to for a while. Checked at the end of each death: callers with open flows were told within
+/// two seconds of their request.
 #include <doctest/doctest.h>
 
 #include <algorithm>
@@ -60,7 +61,8 @@
 
 class Workload {
  public:
-  Workload(std::uint64_t seed, const SteeringFaults& faults) : random_(seed) {
+  Workload(std::uint64_t seed, const SteeringFaults& faults, bool congests_links = false)
+      : random_(seed), congests_links_(congests_links) {
     SteeringState state;
     state.settings.version = 1;
     state.settings.idle_timeout_ms = 60000;
@@ -83,6 +85,7 @@
     }
     stalled_until_.resize(kBalancers);
     isolated_until_.resize(kBalancers);
+    congested_until_.resize(kBalancers);
     next_step_.resize(kBalancers);
     for (std::uint32_t i = 0; i < kFlows; ++i) {
       CallerFlow flow;
@@ -101,6 +104,9 @@
       if (now_ > kStart + seconds(2) && random_() % 200 == 0) {
         make_trouble();
       }
+      if (congests_links_ && random_() % 200 == 0) {
+        congested_until_[random_() % kBalancers] = now_ + milliseconds(50 + random_() % 3000);
+      }
       for (auto& flow : flows_) {
         step_caller(flow);
       }
@@ -112,6 +118,9 @@
   }
 
   int deaths_told = 0;
+  int conclusions = 0;
+  /// From suspicions to conclusions, all together.
+  Duration took{0};
 
  private:
   static FlowToken token(TargetId id) { return static_cast<FlowToken>(100 + id); }
@@ -127,6 +136,20 @@
     return now_ < isolated_until_[balancer];
   }
 
+  [[nodiscard]] bool is_congested(std::size_t balancer) const {
+    return now_ < congested_until_[balancer];
+  }
+
+  /// True when the balancer's own link drops what it sends: of bursts most is dropped.
+  [[nodiscard]] bool is_dropped(std::size_t balancer) {
+    return is_congested(balancer) && random_() % 3 != 0;
+  }
+
+  /// How long what a balancer sends now waits for its link.
+  [[nodiscard]] Duration link_delay(std::size_t balancer) {
+    return is_congested(balancer) ? milliseconds(20 + random_() % 300) : milliseconds(0);
+  }
+
   [[nodiscard]] bool is_lost() { return random_() % kLostOf == 0; }
 
   void make_trouble() {
@@ -202,6 +225,7 @@
     const SimTarget& target = targets_[flow.target];
     const bool was_dead = target.state == TargetState::kDead && *flow.sent_at > target.changed_at;
     const bool could_tell = *flow.sent_at > isolated_until_[flow.balancer] &&
+                            *flow.sent_at > congested_until_[flow.balancer] &&
                             *flow.sent_at > stalled_until_[flow.balancer];
     if (was_dead && could_tell) {
       violation_ =
@@ -228,16 +252,19 @@
     packet.sequence = flow.sequence;
     packet.acknowledged = flow.acknowledged;
     packet.data_size = data;
+    balancers_[flow.balancer].set_link_congested(is_congested(flow.balancer), now_);
     const SteeringDecision decision = balancers_[flow.balancer].on_packet(packet, now_);
     if (decision.action == SteeringAction::kReset) {
       ++deaths_told;
       open_elsewhere(flow);
       return;
     }
-    const bool arrives = data > 0 && answers(flow.target, flow.balancer) && !is_lost();
+    const bool arrives =
+        data > 0 && answers(flow.target, flow.balancer) && !is_lost() && !is_dropped(flow.balancer);
     if (arrives && !flow.answer_at) {
       const bool is_slow = targets_[flow.target].state == TargetState::kSlow;
-      flow.answer_at = now_ + (is_slow ? milliseconds(900) : milliseconds(20 + random_() % 60));
+      flow.answer_at = now_ + link_delay(flow.balancer) +
+                       (is_slow ? milliseconds(900) : milliseconds(20 + random_() % 60));
     }
   }
 
@@ -247,13 +274,15 @@
     }
     next_step_[i] = now_ + TargetReachability::kStepInterval;
     deliver_answers(i);
+    balancers_[i].set_link_congested(is_congested(i), now_);
     for (const auto& probe : balancers_[i].take_probes(now_)) {
       const auto id = static_cast<TargetId>(probe.address.port - 8000);
       const SimTarget& target = targets_[id];
       const bool is_heard = !target.cut_from.contains(i) && !is_isolated(i);
       const bool accepts = is_heard && target.state != TargetState::kDead;
-      if (accepts && !is_lost() && !is_lost()) {
-        answers_.push_back({i, probe.number, now_ + milliseconds(1 + random_() % 3)});
+      if (accepts && !is_lost() && !is_lost() && !is_dropped(i)) {
+        const Duration round_trip = milliseconds(1 + random_() % 3);
+        answers_.push_back({i, probe.number, now_ + link_delay(i) + round_trip});
       }
     }
     for (const auto& concluded : balancers_[i].conclude_reachability(now_)) {
@@ -284,6 +313,8 @@
   }
 
   void check_conclusion(std::size_t i, const UnreachableTarget& concluded) {
+    ++conclusions;
+    took += concluded.took;
     const SimTarget& target = targets_[concluded.target];
     const bool is_settled = now_ - target.changed_at > kSettled;
     const bool lives = target.state == TargetState::kLives || target.state == TargetState::kSlow;
@@ -304,29 +335,59 @@
   };
 
   std::mt19937_64 random_;
+  bool congests_links_;
   Instant now_ = kStart;
   std::map<TargetId, SimTarget> targets_;
   std::vector<FlowSteering> balancers_;
   std::vector<Instant> stalled_until_;
   std::vector<Instant> isolated_until_;
+  std::vector<Instant> congested_until_;
   std::vector<Instant> next_step_;
   std::vector<CallerFlow> flows_;
   std::vector<Answer> answers_;
   std::string violation_;
 };
 
+/// The form in which links get congested.
+class CongestedWorkload : public Workload {
+ public:
+  CongestedWorkload(std::uint64_t seed, const SteeringFaults& faults)
+      : Workload(seed, faults, true) {}
+};
+
 }  // namespace
 
 TEST_SUITE("reachability_workload") {
   TEST_CASE("no reachable target is blamed, and callers of dead ones are told") {
     int told = 0;
+    int conclusions = 0;
+    Duration took{0};
     for (std::uint64_t seed = 1; seed <= 200; ++seed) {
       Workload workload(seed, {});
       const std::string violation = workload.run();
       CHECK_MESSAGE(violation.empty(), "seed " << seed << ": " << violation);
       told += workload.deaths_told;
+      conclusions += workload.conclusions;
+      took += workload.took;
     }
     CHECK(told > 1000);
+    REQUIRE(conclusions > 0);
+    // Callers wait for this on top of the 200 ms after which they repeat data.
+    MESSAGE("from suspicion to conclusion: " << (took / conclusions).count() << " us in mean of "
+                                             << conclusions);
+    CHECK(took / conclusions <= milliseconds(180));
+  }
+
+  TEST_CASE("what a balancer's own congested link keeps back blames no target") {
+    // Uploads filled links of 2 Mbit/s: flows whose targets served were reset.
+    int told = 0;
+    for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+      CongestedWorkload workload(seed, {});
+      const std::string violation = workload.run();
+      CHECK_MESSAGE(violation.empty(), "seed " << seed << ": " << violation);
+      told += workload.deaths_told;
+    }
+    CHECK(told > 500);
   }
 
   TEST_CASE("each deliberate fault is caught") {
@@ -336,6 +397,9 @@
     SteeringFaults without_reference;
     without_reference.reachability.ignore_references = true;
     CHECK(is_caught<Workload>(without_reference));
+    SteeringFaults without_link;
+    without_link.reachability.ignore_congestion = true;
+    CHECK(is_caught<CongestedWorkload>(without_link));
   }
 }
 
--- a/tests/unit/test_flow_steering.cc
+++ b/tests/unit/test_flow_steering.cc
@@ -578,6 +578,67 @@
     test.send_request(1, test.dying, milliseconds(400));
     CHECK(test.steering().is_probing());
   }
+
+  TEST_CASE("repetitions that the own link explains raise no suspicion") {
+    DyingTarget test;
+    test.send_request(1, test.dying);
+    test.steering().set_link_congested(true, test.now + milliseconds(20));
+    test.steering().set_link_congested(false, test.now + milliseconds(40));
+    // What was kept back has to come again, although the link is free by now.
+    test.send_request(1, test.dying, milliseconds(200));
+    CHECK_FALSE(test.steering().is_probing());
+    // The next one cannot be explained so.
+    test.send_request(1, test.dying, milliseconds(400));
+    CHECK(test.steering().is_probing());
+    CHECK(test.run(milliseconds(200), {test.living}).size() == 1);
+  }
+
+  TEST_CASE("on a link that stays congested targets are not blamed for silence") {
+    DyingTarget test;
+    test.steering().set_link_congested(true, test.now);
+    test.send_request(1, test.dying);
+    test.send_request(1, test.dying, milliseconds(200));
+    test.send_request(1, test.dying, milliseconds(400));
+    CHECK_FALSE(test.steering().is_probing());
+    // A refusal would be found out now.
+    test.send_request(1, test.dying, milliseconds(800));
+    CHECK(test.steering().is_probing());
+    CHECK(test.run(seconds(2), {test.living}).empty());
+    CHECK(test.send_request(2, test.dying).action == SteeringAction::kForward);
+  }
+
+  TEST_CASE("openings and requests that the own link keeps back blame no target") {
+    for (const bool is_congested : {false, true}) {
+      SteeringBalancer test(make_state({{"alpha", 1}}, {target(1, "alpha"), target(2, "alpha")}));
+      Instant now = kStart + seconds(2);
+      test.steering.set_link_congested(is_congested, now);
+      // A copy of an opening; one that nothing follows; a request that is not answered.
+      test.steering.on_packet(opening(1), now);
+      test.steering.on_packet(opening(2), now);
+      test.steering.on_packet(later(3, 101, 1, 100), now);
+      test.steering.on_packet(opening(1, 1), now + milliseconds(200));
+      test.steering.check_expectations(now + milliseconds(500));
+      std::uint32_t blamed = 0;
+      for (const auto& seen : test.steering.take_observations()) {
+        blamed += seen.unanswered + seen.refused + seen.stalled;
+      }
+      CHECK(blamed == (is_congested ? 0 : 3));
+    }
+  }
+
+  TEST_CASE("a transfer that goes on is not stalled, however long it takes") {
+    SteeringBalancer test(make_state({{"alpha", 1}}, {target(1, "alpha")}));
+    const Instant began = kStart + seconds(2);
+    CallerPacket packet = later(1, 101, 1, 1200);
+    for (int sent = 0; sent < 50; ++sent) {
+      packet.sequence += 1200;
+      test.steering.on_packet(packet, began + milliseconds(20) * sent);
+      test.steering.check_expectations(began + milliseconds(20) * sent);
+    }
+    for (const auto& seen : test.steering.take_observations()) {
+      CHECK(seen.stalled == 0);
+    }
+  }
 }
 
 }  // namespace gorsevalve
--- a/tests/unit/test_target_reachability.cc
+++ b/tests/unit/test_target_reachability.cc
@@ -215,6 +215,94 @@
     CHECK(targets.probes.size() == TargetReachability::kMaxCases);
   }
 
+  TEST_CASE("silence on a congested link proves nothing, and is looked at again on a free one") {
+    ProbedTargets targets;
+    targets.behaviour = {{kSuspected, Behaviour::kSilent}, {kReference, Behaviour::kAccepts}};
+    targets.reachability.set_link_congested(true, targets.now);
+    targets.reachability.suspect(kSuspected, {kReference}, targets.now);
+    CHECK(targets.run(milliseconds(500)).empty());
+    REQUIRE(targets.reachability.is_probing());
+    targets.reachability.set_link_congested(false, targets.now);
+    const Instant free_at = targets.now;
+    const auto concluded = targets.run(milliseconds(150));
+    REQUIRE(concluded.size() == 1);
+    CHECK(concluded[0].reason == UnreachableReason::kSilent);
+    CHECK(concluded[0].probes == 3);
+    // No later than with a suspicion that begins when the link is free.
+    CHECK(kStart + concluded[0].took <= free_at + milliseconds(150));
+  }
+
+  TEST_CASE("a suspicion that meets congestion in the middle counts none of its earlier probes") {
+    ProbedTargets targets;
+    targets.behaviour = {{kSuspected, Behaviour::kSilent}, {kReference, Behaviour::kAccepts}};
+    targets.reachability.suspect(kSuspected, {kReference}, targets.now);
+    CHECK(targets.run(milliseconds(60)).empty());
+    CHECK(targets.probes[kSuspected] == 3);
+    targets.reachability.set_link_congested(true, targets.now);
+    CHECK(targets.run(milliseconds(20)).empty());
+    targets.reachability.set_link_congested(false, targets.now);
+    // The reference is not heard in the time that counts.
+    targets.behaviour[kReference] = Behaviour::kSilent;
+    CHECK(targets.run(seconds(1)).empty());
+    CHECK(targets.probes[kSuspected] == 6);
+    CHECK_FALSE(targets.reachability.is_probing());
+  }
+
+  TEST_CASE("a reference that was probed on a congested link says nothing of a later time") {
+    ProbedTargets targets(milliseconds(100));
+    targets.behaviour = {{kSuspected, Behaviour::kSilent}, {kReference, Behaviour::kAccepts}};
+    targets.reachability.set_link_congested(true, targets.now);
+    targets.reachability.suspect(kSuspected, {kReference}, targets.now);
+    CHECK(targets.run(milliseconds(60)).empty());
+    targets.reachability.set_link_congested(false, targets.now);
+    targets.behaviour[kReference] = Behaviour::kSilent;
+    CHECK(targets.run(seconds(1)).empty());
+    CHECK_FALSE(targets.reachability.is_probing());
+  }
+
+  TEST_CASE("a refusal counts on a congested link, too") {
+    ProbedTargets targets;
+    targets.behaviour = {{kSuspected, Behaviour::kRefuses}, {kReference, Behaviour::kAccepts}};
+    targets.reachability.set_link_congested(true, targets.now);
+    targets.reachability.suspect(kSuspected, {kReference}, targets.now);
+    const auto concluded = targets.run(milliseconds(150));
+    REQUIRE(concluded.size() == 1);
+    CHECK(concluded[0].reason == UnreachableReason::kRefused);
+  }
+
+  TEST_CASE("a target that answers late on a congested link is cleared") {
+    ProbedTargets targets(milliseconds(300));
+    targets.behaviour = {{kSuspected, Behaviour::kAccepts}, {kReference, Behaviour::kAccepts}};
+    targets.reachability.set_link_congested(true, targets.now);
+    targets.reachability.suspect(kSuspected, {kReference}, targets.now);
+    CHECK(targets.run(milliseconds(400)).empty());
+    CHECK_FALSE(targets.reachability.is_probing());
+    CHECK_FALSE(targets.reachability.may_suspect(kSuspected, targets.now));
+  }
+
+  TEST_CASE("on a link that stays congested a suspicion makes room for others") {
+    ProbedTargets targets;
+    targets.behaviour = {{kSuspected, Behaviour::kSilent}, {kReference, Behaviour::kAccepts}};
+    targets.reachability.set_link_congested(true, targets.now);
+    targets.reachability.suspect(kSuspected, {kReference}, targets.now);
+    CHECK(targets.run(milliseconds(1500)).empty());
+    CHECK_FALSE(targets.reachability.is_probing());
+    CHECK(targets.probes[kSuspected] == 3);
+  }
+
+  TEST_CASE("a link that is free and busy in turns costs few probes") {
+    ProbedTargets targets;
+    targets.behaviour = {{kSuspected, Behaviour::kSilent}, {kReference, Behaviour::kAccepts}};
+    targets.reachability.suspect(kSuspected, {kReference}, targets.now);
+    for (int turn = 0; turn < 40; ++turn) {
+      targets.reachability.set_link_congested(turn % 2 == 1, targets.now);
+      CHECK(targets.run(milliseconds(30)).empty());
+    }
+    CHECK_FALSE(targets.reachability.is_probing());
+    // One each step for a second, and until the link is busy again.
+    CHECK(targets.probes[kSuspected] <= 45);
+  }
+
   TEST_CASE("deliberate faults show") {
     ProbedTargets targets;
     targets.behaviour = {{kSuspected, Behaviour::kSilent}, {kReference, Behaviour::kSilent}};
