Keep what h2o's lists lead to until their loop is gone

Cause: the timeouts of an HTTP server's h2o context stand in the loop's list between those of timers. A balancer that stops frees its server before its loop; the destructors of the loop's timers then took themselves out of the list and wrote into what was freed, at each stop. Whether that ends in signal 11 depends on what the heap has given back by then. The same with the timeout of an HTTP client, and with connections that outlive their server.

Change: EventLoop::keep holds the context until the loop's timers are gone; a server that ends closes its listener and answers nothing any more; requests that wait are listed in what the loop keeps.

--- a/src/tasks/event_loop.h
+++ b/src/tasks/event_loop.h
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <utility>
 #include <vector>
 
 #include "model/time.h"
@@ -35,6 +36,9 @@
   /// messages to each other.
   void post(std::function<void()> action);
 
+  /// Keeps something until the loop and its timers are gone: what h2o's lists of the loop lead to
+  /// (timeouts, contexts) must outlive the owner of it.
+  void keep(std::shared_ptr<void> held) { kept_.push_back(std::move(held)); }
   /// Timers that are held, those that have fired lately among them.
   [[nodiscard]] std::size_t timers() const { return timers_.size(); }
   [[nodiscard]] h2o_loop_t* raw() { return loop_; }
@@ -49,6 +53,8 @@
   h2o_multithread_queue_t* queue_;
   h2o_multithread_receiver_t receiver_{};
   std::atomic<bool> stopping_{false};
+  /// Freed after the timers.
+  std::vector<std::shared_ptr<void>> kept_;
   std::vector<std::unique_ptr<Timer>> timers_;
 };
 
--- a/src/tasks/http_client.h
+++ b/src/tasks/http_client.h
@@ -44,7 +44,8 @@
  private:
   struct Exchange;
   struct Internals;
-  std::unique_ptr<Internals> internals_;
+  /// Kept by the loop, too: its timeout stands in the loop's list between those of others.
+  std::shared_ptr<Internals> internals_;
 };
 
 }  // namespace gorsevalve
--- a/src/tasks/http_server.cc
+++ b/src/tasks/http_server.cc
@@ -27,11 +27,14 @@
 }  // namespace
 
 struct HttpServer::Internals {
-  /// h2o's handler with a way back to the server.
+  /// h2o's handler with a way back to the server; nullptr once that is gone.
   struct Handler {
     h2o_handler_t base;
     HttpServer* server;
   };
+  Handler* handler = nullptr;
+  /// Requests that wait for their answers.
+  std::map<RequestNumber, h2o_req_t*> waiting;
   h2o_globalconf_t config{};
   h2o_context_t context{};
   h2o_accept_ctx_t accept{};
@@ -39,13 +42,14 @@
 };
 
 HttpServer::HttpServer(Handler handler)
-    : handler_(std::move(handler)), internals_(std::make_unique<Internals>()) {}
+    : handler_(std::move(handler)), internals_(std::make_shared<Internals>()) {}
 
 tl::expected<std::unique_ptr<HttpServer>, std::string> HttpServer::open(EventLoop& loop,
                                                                         const Endpoint& address,
                                                                         Handler handler) {
   std::unique_ptr<HttpServer> server(new HttpServer(std::move(handler)));
   Internals& internals = *server->internals_;
+  loop.keep(server->internals_);
   h2o_config_init(&internals.config);
   internals.config.max_request_entity_size = kMaxBody;
   h2o_hostconf_t* host =
@@ -53,9 +57,12 @@
   h2o_pathconf_t* path = h2o_config_register_path(host, "/", 0);
   auto* handler_slot =
       reinterpret_cast<Internals::Handler*>(h2o_create_handler(path, sizeof(Internals::Handler)));
+  internals.handler = handler_slot;
   handler_slot->server = server.get();
   handler_slot->base.on_req = [](h2o_handler_t* self, h2o_req_t* request) {
-    return reinterpret_cast<Internals::Handler*>(self)->server->on_request(request);
+    HttpServer* found = reinterpret_cast<Internals::Handler*>(self)->server;
+    // -1: h2o answers by itself that there is nothing.
+    return found == nullptr ? -1 : found->on_request(request);
   };
   h2o_context_init(&internals.context, loop.raw(), &internals.config);
   internals.accept.ctx = &internals.context;
@@ -70,8 +77,14 @@
   return server;
 }
 
-// Connections end with the process: h2o's context cannot be disposed while they exist.
-HttpServer::~HttpServer() = default;
+// h2o's context cannot be disposed while connections exist, and its timeouts stand in the loop's
+// list between those of others: it lives as long as the loop.
+HttpServer::~HttpServer() {
+  internals_->listener.reset();
+  if (internals_->handler != nullptr) {
+    internals_->handler->server = nullptr;
+  }
+}
 
 int HttpServer::on_request(h2o_req_t* request) {
   HttpRequest copy;
@@ -88,19 +101,20 @@
   const RequestNumber number = ++last_number_;
   auto* ticket = static_cast<Ticket*>(
       h2o_mem_alloc_shared(&request->pool, sizeof(Ticket), &on_ticket_disposed));
-  *ticket = {&waiting_, number};
-  waiting_[number] = request;
+  *ticket = {&internals_->waiting, number};
+  internals_->waiting[number] = request;
   handler_(number, copy);
   return 0;
 }
 
 void HttpServer::respond(RequestNumber number, const HttpResponse& response) {
-  const auto found = waiting_.find(number);
-  if (found == waiting_.end()) {
+  auto& waiting = internals_->waiting;
+  const auto found = waiting.find(number);
+  if (found == waiting.end()) {
     return;
   }
   h2o_req_t* request = found->second;
-  waiting_.erase(found);
+  waiting.erase(found);
   static h2o_generator_t generator = {nullptr, nullptr};
   request->res.status = response.status;
   request->res.reason = response.status < 400 ? "OK" : "Error";
--- a/src/tasks/http_server.h
+++ b/src/tasks/http_server.h
@@ -58,9 +58,9 @@
   int on_request(h2o_req_t* request);
 
   Handler handler_;
-  std::unique_ptr<Internals> internals_;
+  /// Kept by the loop, too.
+  std::shared_ptr<Internals> internals_;
   RequestNumber last_number_ = 0;
-  std::map<RequestNumber, h2o_req_t*> waiting_;
 };
 
 }  // namespace gorsevalve
