--- a/src/tasks/waiting_proposals.cc
+++ b/src/tasks/waiting_proposals.cc
@@ -1,5 +1,7 @@
 #include "tasks/waiting_proposals.h"
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "tasks/log.h"
@@ -42,6 +44,8 @@
       callback({committed ? SteeringStatus::kAcknowledged : SteeringStatus::kUnknown, {}});
     }
   }
+  // A callback may have proposed more.
+  std::move(waiting_.begin(), waiting_.end(), std::back_inserter(still_waiting));
   waiting_ = std::move(still_waiting);
 }
 
