Balancers take turns at cold targets, so that all together stay within a pool's rate

Cause: a cold target carries few requests a second, and each balancer that sees an idle target sends it its next flow.

Ruled out: independent token buckets (their sum scatters like a Poisson variable: for less than one overrun in a million seconds only half of the rate could be given out at 5 flows a second); parts by each balancer's share of new flows (their sum is above one whenever load shifts within the age of the figures).

Change: the leader numbers all balancers that it and its followers heard (BalancerPlaces); reports name the balancers served, answers to reports and heartbeats carry places. WarmUpBudget gives balancer n of N each N-th turn of a cold target; a turn lapses after 0.5 s; four fifths of the rate are given out. FlowPlacement leaves cold targets without a turn out, and refuses at once where only such are left. Without a bound in the pool nothing changes. Log lines warm_up_began and warm_up_ended, counters.

--- a/src/core/balancer/control_client.cc
+++ b/src/core/balancer/control_client.cc
@@ -88,6 +88,7 @@
   if (reply.figures) {
     take_figures(*reply.figures);
   }
+  output_.on_place(reply.place, now);
   check_confirmed(now);
   // Only the chosen replica counts: another one that answers late is not waited for.
   if (!choice_.is_searching() && from == choice_.chosen()) {
--- /dev/null
+++ b/src/core/control/balancer_places.h
@@ -0,0 +1,47 @@
+/// Gives each balancer a place among all of them, for what they share by turns. The leader numbers
+/// the balancers that it and its followers heard; a follower passes on what it was told. Memory
+/// only: a new leader numbers them again.
+#pragma once
+
+#include <map>
+#include <vector>
+
+#include "model/balancer_place.h"
+#include "model/time.h"
+
+namespace gorsevalve {
+
+class BalancerPlaces {
+ public:
+  /// A balancer that gets updates from this replica reported.
+  void on_heard(const Endpoint& balancer, Instant now);
+
+  /// Balancers that reported to this replica lately, for its report to the leader.
+  [[nodiscard]] std::vector<Endpoint> local_balancers(Instant now) const;
+  /// What a follower was told of the balancers that it serves.
+  void on_told(const std::vector<PlacedBalancer>& told, Instant now);
+
+  /// This replica leads from now on.
+  void on_elected(Instant now);
+  /// Balancers that a follower serves.
+  void on_reported(const std::vector<Endpoint>& balancers, Instant now);
+  /// Numbers the balancers that were heard; to be called while this replica leads.
+  void number_all(Instant now);
+  /// The places of the balancers that a follower reported.
+  [[nodiscard]] std::vector<PlacedBalancer> places_of(const std::vector<Endpoint>& balancers,
+                                                      Instant now) const;
+
+  /// Place of one balancer; a count of 0 while it is not known, or was not confirmed for long.
+  [[nodiscard]] BalancerPlace place_of(const Endpoint& balancer, Instant now) const;
+
+ private:
+  /// When each balancer was heard here.
+  std::map<Endpoint, Instant> local_;
+  /// When each balancer was heard anywhere, at the leader.
+  std::map<Endpoint, Instant> heard_;
+  std::map<Endpoint, BalancerPlace> places_;
+  Instant places_at_;
+  Instant numbers_from_;
+};
+
+}  // namespace gorsevalve
--- a/src/core/control/control_node.cc
+++ b/src/core/control/control_node.cc
@@ -82,6 +82,7 @@
     reply.replicas.push_back(replica.address);
   }
   reply.figures = figures_after(heartbeat.figures_edition);
+  reply.place = places_.place_of(heartbeat.member.address, now);
   return reply;
 }
 
@@ -102,6 +103,9 @@
 
 void ControlNode::handle(const Endpoint& from, const NodeHeartbeat& heartbeat, Instant now) {
   nodes_.on_heartbeat(heartbeat, now);
+  if (heartbeat.wants_update) {
+    places_.on_heard(heartbeat.member.address, now);
+  }
   const HeartbeatReply reply = reply_to(heartbeat, now);
   board_.add(heartbeat.observations, now);
   output_.send_node(from, reply);
@@ -130,9 +134,11 @@
     registrations_.on_heartbeat(target.id, now - std::chrono::milliseconds(target.age_ms));
   }
   board_.add(report.observations, now);
+  places_.on_reported(report.balancers, now);
   const std::vector<Endpoint> may_stop = MembershipController::may_stop(state_.fleet(), nodes_);
   output_.send_node(from,
-                    ReportReply{report.sequence, may_stop, figures_after(report.figures_edition)});
+                    ReportReply{report.sequence, may_stop, figures_after(report.figures_edition),
+                                places_.places_of(report.balancers, now)});
 }
 
 void ControlNode::handle(const Endpoint& from, const TargetFigures& figures, Instant /*now*/) {
@@ -163,7 +169,7 @@
   return edition == figures_.edition ? std::nullopt : std::optional(figures_);
 }
 
-void ControlNode::handle(const Endpoint& /*from*/, const ReportReply& reply, Instant /*now*/) {
+void ControlNode::handle(const Endpoint& /*from*/, const ReportReply& reply, Instant now) {
   const auto sent = reports_sent_.find(reply.sequence);
   if (sent == reports_sent_.end()) {
     return;
@@ -173,6 +179,9 @@
   if (reply.figures) {
     take_figures(*reply.figures);
   }
+  if (!replica_->is_leader()) {
+    places_.on_told(reply.places, now);
+  }
 }
 
 void ControlNode::report_to_leader(Instant now) {
@@ -186,6 +195,7 @@
   ReplicaReport report{++report_sequence_, config_.address, nodes_.local_nodes(now)};
   report.observations = board_.take_observations(now);
   report.figures_edition = figures_.edition;
+  report.balancers = places_.local_balancers(now);
   for (const auto& [id, heard_at] : std::exchange(heard_targets_, {})) {
     const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - heard_at);
     report.targets.push_back({id, static_cast<std::uint32_t>(age.count())});
@@ -207,9 +217,11 @@
     membership_.on_elected(now);
     registrations_.on_elected(now);
     board_.clear();
+    places_.on_elected(now);
   }
   lead_registrations(now);
   lead_figures(now);
+  places_.number_all(now);
   const std::vector<Endpoint> stop = MembershipController::may_stop(state_.fleet(), nodes_);
   may_stop_ = std::set<Endpoint>(stop.begin(), stop.end());
   if (pending_members_ > replica_->commit_index()) {
--- a/src/core/control/control_node.h
+++ b/src/core/control/control_node.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <string>
 
+#include "core/control/balancer_places.h"
 #include "core/control/control_output.h"
 #include "core/control/control_state.h"
 #include "core/control/figure_board.h"
@@ -154,6 +155,7 @@
   MembershipController membership_;
   RegistrationMonitor registrations_{RegistrationTiming{}};
   Instant next_conclusion_;
+  BalancerPlaces places_;
   FigureBoard board_;
   TargetFigures figures_;
   Instant figures_at_;
--- a/src/core/control/node_messages.h
+++ b/src/core/control/node_messages.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "core/control/control_state.h"
+#include "model/balancer_place.h"
 #include "model/fleet.h"
 #include "model/target_figures.h"
 
@@ -57,10 +58,12 @@
   std::string zone{};
   /// Set when the balancer has another edition.
   std::optional<TargetFigures> figures{};
+  /// The balancer's place among all of them; a count of 0 while it is not known.
+  BalancerPlace place{};
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive& sequence& lease_ms& may_stop& is_current& revision& replicas& zone& figures;
+    archive& sequence& lease_ms& may_stop& is_current& revision& replicas& zone& figures& place;
   }
 };
 
@@ -116,10 +119,12 @@
   std::vector<TargetObservation> observations{};
   /// Edition of the figures that it has.
   std::uint64_t figures_edition = 0;
+  /// All balancers that it serves, observers too.
+  std::vector<Endpoint> balancers{};
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive& sequence& replica& nodes& targets& observations& figures_edition;
+    archive& sequence& replica& nodes& targets& observations& figures_edition& balancers;
   }
 };
 
@@ -130,10 +135,12 @@
   std::vector<Endpoint> may_stop;
   /// Set when the follower has another edition.
   std::optional<TargetFigures> figures{};
+  /// Places of the reported balancers; none while the leader does not know all balancers.
+  std::vector<PlacedBalancer> places{};
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive& sequence& may_stop& figures;
+    archive& sequence& may_stop& figures& places;
   }
 };
 
--- a/src/core/steering/flow_placement.cc
+++ b/src/core/steering/flow_placement.cc
@@ -15,8 +15,10 @@
   kNone = 0,
   /// Silent, or seen in trouble.
   kTroubled = 1,
+  /// It may be cold: it was here before this balancer was.
+  kUnknownAge = 2,
   /// It certainly cannot be reached from here.
-  kUnreachable = 2,
+  kUnreachable = 3,
 };
 
 /// How good a target is for a new flow; the least one is chosen.
@@ -39,10 +41,14 @@
   return -std::log(uniform) / weight;
 }
 
-Doubt doubt_of(const PlacementInputs& inputs, const RegisteredTarget& target, Instant now) {
+Doubt doubt_of(const PlacementInputs& inputs, const RegisteredTarget& target,
+               WarmUpAdmission admission, Instant now) {
   if (inputs.reachability.is_unreachable(target.id)) {
     return Doubt::kUnreachable;
   }
+  if (admission == WarmUpAdmission::kUnknownAge) {
+    return Doubt::kUnknownAge;
+  }
   const bool is_troubled =
       target.phase != TargetPhase::kReady || inputs.scores.is_suspected(target.id, now);
   return is_troubled ? Doubt::kTroubled : Doubt::kNone;
@@ -119,6 +125,19 @@
     const bool is_stepped = policy_.load_step > 0 && inputs.scores.has_figures();
     return is_stepped ? std::floor(load / policy_.load_step) : load;
   };
+  // During its turn a cold target is as good as a warm one: the budget keeps it from more than it
+  // carries.
+  const auto load_of = [&](const RegisteredTarget& target, WarmUpAdmission admission) {
+    const double load = inputs.scores.load(target, typical_us, now);
+    return admission == WarmUpAdmission::kTurn ? load / policy_.cold_penalty : load;
+  };
+  const auto weight_of = [&](const RegisteredTarget& target, WarmUpAdmission admission) {
+    const double weight = inputs.scores.preference(target);
+    const bool has_turn = admission == WarmUpAdmission::kTurn;
+    return has_turn ? weight * inputs.warm_up.turn_weight(target.id) : weight;
+  };
+  const bool has_cold = !inputs.warm_up.is_empty();
+  bool passed_over = false;
   const RegisteredTarget* best = nullptr;
   Rank best_rank;
   for (const RegisteredTarget* candidate : inputs.view.pool_targets(pool)) {
@@ -126,15 +145,31 @@
     if (target.id == avoided) {
       continue;
     }
-    const Rank rank{doubt_of(inputs, target, now),
-                    rounded(inputs.scores.load(target, typical_us, now)),
+    const WarmUpAdmission admission =
+        has_cold ? inputs.warm_up.admission(target.id, now) : WarmUpAdmission::kFree;
+    if (admission == WarmUpAdmission::kNoTurn) {
+      passed_over = true;
+      continue;
+    }
+    const Rank rank{doubt_of(inputs, target, admission, now), rounded(load_of(target, admission)),
                     race_time(rendezvous_score(flow_key, target.token, kTieSalt),
-                              inputs.scores.preference(target))};
+                              weight_of(target, admission))};
     if (best == nullptr || rank < best_rank) {
       best = &target;
       best_rank = rank;
     }
   }
+  if (!passed_over) {
+    return best;
+  }
+  // The bound is the operator's: a target beyond what it carries cold answers all of its callers
+  // late, while a caller that is refused at once meets another balancer, which may have the turn.
+  const bool is_refused = best == nullptr || best_rank.doubt == Doubt::kUnreachable;
+  if (is_refused) {
+    inputs.warm_up.on_refused();
+    return nullptr;
+  }
+  inputs.warm_up.on_passed_over();
   return best;
 }
 
--- a/src/core/steering/flow_placement.h
+++ b/src/core/steering/flow_placement.h
@@ -12,6 +12,7 @@
 #include "core/steering/steering_view.h"
 #include "core/steering/target_reachability.h"
 #include "core/steering/target_scores.h"
+#include "core/steering/warm_up_budget.h"
 
 namespace gorsevalve {
 
@@ -20,6 +21,8 @@
   const SteeringView& view;
   const TargetScores& scores;
   const TargetReachability& reachability;
+  /// Counts what it keeps from cold targets.
+  WarmUpBudget& warm_up;
 };
 
 class FlowPlacement {
@@ -28,7 +31,7 @@
   FlowPlacement(std::uint64_t seed, const SteeringPolicy& policy) : seed_(seed), policy_(policy) {}
 
   /// The target for a new flow, not `avoided` while there is another one; nullptr when there is
-  /// none.
+  /// none, or when all that can be reached are cold and may not take a flow from here now.
   const RegisteredTarget* place(const PlacementInputs& inputs, const FrontendView& frontend,
                                 const CallerPacket& packet, TargetId avoided, Instant now);
   void on_frontend_dropped(const Endpoint& address) { credits_.erase(address); }
--- a/src/core/steering/flow_steering.cc
+++ b/src/core/steering/flow_steering.cc
@@ -60,6 +60,10 @@
   view_.reset(state);
   scores_.adopt(state.targets, now);
   placement_.adopt(view_);
+  update_cold_rates();
+  for (const auto& target : state.targets) {
+    note_warm_up(target, false, now);
+  }
   // A whole state does not tell who came first; but of two at an address the silent one is gone.
   for (const auto& target : state.targets) {
     if (target.phase == TargetPhase::kReady) {
@@ -82,15 +86,20 @@
 
 void FlowSteering::apply(const SteeringDelta& delta, Instant now) {
   view_.apply(delta);
+  if (delta.has_settings) {
+    update_cold_rates();
+  }
   for (const auto& target : delta.upserted_targets) {
     const bool is_new = scores_.find(target.id) == nullptr;
     scores_.on_target(target, now);
+    note_warm_up(target, true, now);
     if (is_new && target.phase != TargetPhase::kEnded) {
       note_replaced(target, [](const RegisteredTarget& /*other*/) { return true; });
     }
   }
   for (const TargetId id : delta.forgotten_targets) {
     scores_.on_forgotten(id);
+    warm_up_.forget(id);
     reachability_.forget(id);
   }
   for (const auto& address : delta.removed_frontends) {
@@ -98,6 +107,31 @@
   }
 }
 
+void FlowSteering::note_warm_up(const RegisteredTarget& target, bool is_age_known, Instant now) {
+  const double rate = view_.cold_flows_per_s(target.pool);
+  const TargetScore* score = scores_.find(target.id);
+  const bool is_cold = rate > 0 && score != nullptr && now < score->warm_at;
+  if (!is_cold || target.phase == TargetPhase::kEnded) {
+    warm_up_.forget(target.id);
+    return;
+  }
+  if (warm_up_.begin({target.id, target.token, rate, score->warm_at, is_age_known}, now)) {
+    cooled_.push_back(target.id);
+  }
+}
+
+void FlowSteering::update_cold_rates() {
+  warm_up_.update_rates([this](TargetId id) {
+    const RegisteredTarget* target = view_.target_by_id(id);
+    return target == nullptr ? 0 : view_.cold_flows_per_s(target->pool);
+  });
+}
+
+std::vector<TargetId> FlowSteering::take_cooled() {
+  std::sort(cooled_.begin(), cooled_.end());
+  return std::exchange(cooled_, {});
+}
+
 void FlowSteering::confirm(Instant now) {
   is_confirmed_ = true;
   observes_from_ = now + kObservationPause;
@@ -168,6 +202,7 @@
   }
   note(packet, target->id, now);
   scores_.on_placed(target->id);
+  warm_up_.on_placed(target->id, now);
   if (packet.copies_before == 0 && now >= observes_from_) {
     openings_.push_back({packet.flow, target->id, now});
   }
--- a/src/core/steering/flow_steering.h
+++ b/src/core/steering/flow_steering.h
@@ -14,6 +14,7 @@
 #include "core/steering/steering_view.h"
 #include "core/steering/target_reachability.h"
 #include "core/steering/target_scores.h"
+#include "core/steering/warm_up_budget.h"
 
 namespace gorsevalve {
 
@@ -57,6 +58,8 @@
   bool ignore_token = false;
   bool accept_foreign_tokens = false;
   ReachabilityFaults reachability;
+  /// Takes the whole budget of each cold target.
+  bool take_whole_budget = false;
 };
 
 /// A connection to open, to see whether a target can be reached.
@@ -100,6 +103,16 @@
   [[nodiscard]] bool has_trouble() const { return scores_.has_trouble(); }
   void set_figures(const std::vector<TargetFigure>& figures, Instant now);
 
+  /// This balancer's place among all of them; a count of 0 while it is not known.
+  void set_place(const BalancerPlace& place, Instant now) { warm_up_.set_place(place, now); }
+  [[nodiscard]] const WarmUpBudget& warm_up() const { return warm_up_; }
+  /// Targets that turned cold since the last call, in the order of their ids, and those that are
+  /// warm now.
+  [[nodiscard]] std::vector<TargetId> take_cooled();
+  [[nodiscard]] std::vector<WarmedTarget> take_warmed(Instant now) {
+    return warm_up_.take_warmed(now);
+  }
+
   /// Probes of targets, to be sent now. What becomes of each is told by `on_probe_answer`, or by
   /// `on_probe_not_sent`; silence needs no telling.
   [[nodiscard]] std::vector<TargetProbe> take_probes(Instant now);
@@ -126,13 +139,17 @@
   void set_faults(const SteeringFaults& faults) {
     faults_ = faults;
     reachability_.set_faults(faults.reachability);
+    warm_up_.set_takes_all_turns(faults.take_whole_budget);
   }
 
  private:
   [[nodiscard]] SteeringDecision follow_unconfirmed(const CallerPacket& packet, Instant now);
   SteeringDecision open(const FrontendView& frontend, const CallerPacket& packet, Instant now);
   SteeringDecision follow(const FrontendView& frontend, const CallerPacket& packet, Instant now);
-  [[nodiscard]] PlacementInputs inputs() const { return {view_, scores_, reachability_}; }
+  [[nodiscard]] PlacementInputs inputs() { return {view_, scores_, reachability_, warm_up_}; }
+  /// Bounds what a target takes while it is cold, where the operator set a rate.
+  void note_warm_up(const RegisteredTarget& target, bool is_age_known, Instant now);
+  void update_cold_rates();
   void note(const CallerPacket& packet, TargetId target, Instant now);
   void note_request(FlowEntry& entry, const CallerPacket& packet, Instant now);
   /// Notes data that the caller sends again since its target did not acknowledge it.
@@ -164,6 +181,8 @@
   std::deque<Expectation> requests_;
   TargetScores scores_;
   TargetReachability reachability_;
+  WarmUpBudget warm_up_;
+  std::vector<TargetId> cooled_;
   SteeringFaults faults_;
 };
 
--- a/src/core/steering/steering_view.cc
+++ b/src/core/steering/steering_view.cc
@@ -26,6 +26,7 @@
   }
   version_ = state.settings.version;
   idle_timeout_ms_ = state.settings.idle_timeout_ms;
+  put_pools(state.settings.pools);
   for (const auto& frontend : state.settings.frontends) {
     put_frontend(frontend);
   }
@@ -38,6 +39,7 @@
   if (delta.has_settings) {
     version_ = delta.version;
     idle_timeout_ms_ = delta.idle_timeout_ms;
+    put_pools(delta.pools);
     for (const auto& address : delta.removed_frontends) {
       drop_frontend(address);
     }
@@ -62,6 +64,21 @@
   return found->second;
 }
 
+void SteeringView::put_pools(const std::vector<Pool>& pools) {
+  constexpr double kPerThousandSeconds = 1000;
+  cold_flows_per_s_.clear();
+  for (const auto& pool : pools) {
+    if (pool.cold_flows_per_1000_s > 0) {
+      cold_flows_per_s_[pool.name] = pool.cold_flows_per_1000_s / kPerThousandSeconds;
+    }
+  }
+}
+
+double SteeringView::cold_flows_per_s(const std::string& pool) const {
+  const auto found = cold_flows_per_s_.find(pool);
+  return found == cold_flows_per_s_.end() ? 0 : found->second;
+}
+
 void SteeringView::put_frontend(const Frontend& frontend) {
   FrontendView view;
   view.address = frontend.address;
--- a/src/core/steering/steering_view.h
+++ b/src/core/steering/steering_view.h
@@ -60,12 +60,15 @@
   [[nodiscard]] const std::vector<const RegisteredTarget*>& pool_targets(std::uint32_t pool) const {
     return pool_targets_[pool];
   }
+  /// New flows per second that a cold target of the pool takes; 0 where the operator set no bound.
+  [[nodiscard]] double cold_flows_per_s(const std::string& pool) const;
   [[nodiscard]] std::size_t targets() const { return targets_.size(); }
   [[nodiscard]] OperatorVersion version() const { return version_; }
   [[nodiscard]] std::uint32_t idle_timeout_ms() const { return idle_timeout_ms_; }
 
  private:
   std::uint32_t pool_index(const std::string& name);
+  void put_pools(const std::vector<Pool>& pools);
   void put_frontend(const Frontend& frontend);
   void drop_frontend(const Endpoint& address);
   void put_target(const RegisteredTarget& target);
@@ -77,6 +80,8 @@
   std::uint32_t idle_timeout_ms_ = 0;
   absl::node_hash_map<TargetId, RegisteredTarget> targets_;
   absl::flat_hash_map<std::string, std::uint32_t> pools_;
+  /// Of the pools that have a bound.
+  absl::flat_hash_map<std::string, double> cold_flows_per_s_;
   std::vector<std::vector<const RegisteredTarget*>> pool_targets_;
   absl::flat_hash_map<Endpoint, FrontendView> frontends_;
   absl::flat_hash_set<Endpoint> dropped_;
--- a/src/tasks/log_events.h
+++ b/src/tasks/log_events.h
@@ -50,6 +50,8 @@
   kTargetsTroubled,
   kTargetUnreachable,
   kTargetReachable,
+  kWarmUpBegan,
+  kWarmUpEnded,
   kAcceptingPaused,
   kLoopStalled,
   kClusterFounded,
@@ -148,6 +150,11 @@
          "reset."},
         {LogEvent::kTargetReachable, "target_reachable", LogLevel::kInfo, LogClass::kState,
          "A target that was unreachable from here answers again."},
+        {LogEvent::kWarmUpBegan, "warm_up_began", LogLevel::kInfo, LogClass::kState,
+         "Targets turned cold: they take few new flows until they are warm, from all balancers "
+         "together; `balancers` share them by turns, 0 while this one knows no place."},
+        {LogEvent::kWarmUpEnded, "warm_up_ended", LogLevel::kInfo, LogClass::kState,
+         "Targets are warm; `flows` were placed there from here while they were cold."},
         {LogEvent::kAcceptingPaused, "accepting_paused", LogLevel::kWarning, LogClass::kState,
          "A listener holds as many connections as it may, or there is no descriptor left; others "
          "wait until one closes."},
--- a/src/tasks/steering_task.cc
+++ b/src/tasks/steering_task.cc
@@ -202,6 +202,7 @@
   prober_.on_tick(now);
   look_after_targets(now);
   control_.on_tick(0, now);
+  log_warm_up(now);
   log_freshness(now);
   flush_log();
   if (is_ready() != was_ready_) {
@@ -246,6 +247,28 @@
   return now - control_.confirmed_at().value_or(started_at_);
 }
 
+void SteeringTask::log_warm_up(Instant now) {
+  const std::vector<TargetId> cooled = steering_.take_cooled();
+  if (!cooled.empty()) {
+    log_event(LogEvent::kWarmUpBegan, {{"targets", cooled.size()},
+                                       {"first", cooled.front()},
+                                       {"cold", steering_.warm_up().held()},
+                                       {"balancers", steering_.warm_up().place().count}});
+  }
+  const std::vector<WarmedTarget> warmed = steering_.take_warmed(now);
+  if (warmed.empty()) {
+    return;
+  }
+  std::uint64_t flows = 0;
+  for (const auto& target : warmed) {
+    flows += target.flows;
+  }
+  log_event(LogEvent::kWarmUpEnded, {{"targets", warmed.size()},
+                                     {"first", warmed.front().id},
+                                     {"flows", flows},
+                                     {"cold", steering_.warm_up().held()}});
+}
+
 void SteeringTask::log_freshness(Instant now) {
   const Duration age = state_age(now);
   const bool is_unconfirmed = age > kUnconfirmedLogged;
--- a/src/tasks/steering_task.h
+++ b/src/tasks/steering_task.h
@@ -114,12 +114,17 @@
     return steering_.take_observations();
   }
   void on_figures(const std::vector<TargetFigure>& figures) override;
+  void on_place(const BalancerPlace& place, Instant now) override {
+    steering_.set_place(place, now);
+  }
   void on_lease(Instant /*until*/) override {}
   void on_expelled(Instant /*now*/) override {}
   void on_replica_silent(const Endpoint& replica) override;
   void on_behind(const Endpoint& replica, Revision revisions) override;
   void on_replica_chosen(const Endpoint& replica, Revision held) override;
   void on_update_refused(const RefusedUpdate& refused) override;
+  /// Tells which targets turned cold, and what those that are warm now took from here.
+  void log_warm_up(Instant now);
   /// Tells when the state in force has not been confirmed for long, and when it is again.
   void log_freshness(Instant now);
 
--- /dev/null
+++ b/tests/unit/test_warm_up_budget.cc
@@ -0,0 +1,324 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <map>
+
+#include "allocation_counter.h"
+#include "core/control/balancer_places.h"
+#include "core/steering/flow_steering.h"
+#include "core/steering/warm_up_budget.h"
+
+namespace gorsevalve {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Instant kStart{seconds(1000)};
+constexpr TargetId kCold = 7;
+constexpr Endpoint kFrontend{0xC6120001, 443};
+
+ColdTarget cold_target(double flows_per_s, Duration warm_up) {
+  return {kCold, 1007, flows_per_s, kStart + warm_up};
+}
+
+/// Flows that a balancer places at the cold target when one comes each 10 ms.
+std::vector<Instant> placed(WarmUpBudget& budget, Instant from, Instant to) {
+  std::vector<Instant> result;
+  for (Instant now = from; now < to; now += milliseconds(10)) {
+    if (budget.admission(kCold, now) == WarmUpAdmission::kTurn) {
+      budget.on_placed(kCold, now);
+      result.push_back(now);
+    }
+  }
+  return result;
+}
+
+/// Flows that all balancers of a fleet place in ten seconds.
+std::size_t placed_by_all(std::uint32_t count, double flows_per_s) {
+  std::size_t sum = 0;
+  for (std::uint32_t number = 0; number < count; ++number) {
+    WarmUpBudget budget;
+    budget.set_place({number, count}, kStart);
+    budget.begin(cold_target(flows_per_s, seconds(20)), kStart);
+    sum += placed(budget, kStart, kStart + seconds(10)).size();
+  }
+  return sum;
+}
+
+SteeringState pool_of(std::vector<RegisteredTarget> targets, std::uint32_t cold_flows_per_1000_s) {
+  SteeringState state;
+  state.settings.version = 1;
+  state.settings.idle_timeout_ms = 60000;
+  Pool pool{"alpha", 9};
+  pool.cold_flows_per_1000_s = cold_flows_per_1000_s;
+  state.settings.pools = {pool};
+  state.settings.frontends.push_back({"f", kFrontend, {{"alpha", 1}}, {}, 1000, 100});
+  state.targets = std::move(targets);
+  return state;
+}
+
+RegisteredTarget target(TargetId id, std::uint32_t warm_up_ms) {
+  RegisteredTarget one;
+  one.id = id;
+  one.token = static_cast<FlowToken>(1000 + id);
+  one.pool = "alpha";
+  one.address = {10, static_cast<std::uint16_t>(8000 + id)};
+  one.warm_up_ms = warm_up_ms;
+  return one;
+}
+
+SteeringDelta upsert(const RegisteredTarget& one) {
+  SteeringDelta delta;
+  delta.upserted_targets.push_back(one);
+  return delta;
+}
+
+struct Fixture {
+  FlowSteering steering{7};
+  Instant now = kStart;
+  std::uint32_t callers = 0;
+
+  explicit Fixture(const SteeringState& state) {
+    steering.adopt(state, now);
+    steering.confirm(now);
+  }
+  SteeringDecision open() {
+    CallerPacket packet;
+    packet.flow = {{0x64400000 + ++callers, 1}, kFrontend};
+    packet.opens = true;
+    return steering.on_packet(packet, now);
+  }
+  /// Flows at each target when one comes each 10 ms.
+  std::map<TargetId, int> open_for(Duration time) {
+    std::map<TargetId, int> flows;
+    for (const Instant end = now + time; now < end; now += milliseconds(10)) {
+      const SteeringDecision decision = open();
+      ++flows[decision.target == nullptr ? 0 : decision.target->id];
+    }
+    return flows;
+  }
+};
+
+}  // namespace
+
+TEST_SUITE("warm_up_budget") {
+  TEST_CASE("the turns of all balancers together are four fifths of the rate") {
+    CHECK(placed_by_all(1, 5) == 40);
+    CHECK(placed_by_all(2, 5) == 40);
+    // The last turn may begin after the last flow.
+    CHECK(placed_by_all(80, 5) >= 39);
+    CHECK(placed_by_all(80, 5) <= 40);
+    CHECK(placed_by_all(750, 5) >= 39);
+    CHECK(placed_by_all(750, 5) <= 40);
+    CHECK(placed_by_all(80, 0.5) >= 3);
+    CHECK(placed_by_all(80, 0.5) <= 4);
+  }
+
+  TEST_CASE("turns that nobody used are not saved up") {
+    WarmUpBudget budget;
+    budget.set_place({0, 1}, kStart);
+    budget.begin(cold_target(1, seconds(20)), kStart);
+    CHECK(placed(budget, kStart + seconds(10), kStart + seconds(11)).size() <= 2);
+  }
+
+  TEST_CASE("without a place, or with an old one, a cold target takes nothing from here") {
+    WarmUpBudget budget;
+    budget.begin(cold_target(100, seconds(100)), kStart);
+    CHECK(placed(budget, kStart, kStart + seconds(5)).empty());
+    budget.set_place({0, 1}, kStart + seconds(5));
+    CHECK(!placed(budget, kStart + seconds(5), kStart + seconds(6)).empty());
+    budget.set_place({0, 0}, kStart + seconds(30));
+    CHECK(!placed(budget, kStart + seconds(30), kStart + seconds(31)).empty());
+    CHECK(placed(budget, kStart + seconds(36), kStart + seconds(40)).empty());
+  }
+
+  TEST_CASE("places that cannot be true change nothing or little, and are counted") {
+    WarmUpBudget budget;
+    budget.begin(cold_target(10, seconds(100)), kStart);
+    budget.set_place({3, 80}, kStart);
+    budget.set_place({80, 80}, kStart);
+    budget.set_place({0, 4000000000U}, kStart);
+    CHECK(budget.place() == BalancerPlace{3, 80});
+    CHECK(budget.counters().places_doubted == 2);
+    // A count that falls to less than half is believed by half until lost balancers are forgotten.
+    budget.set_place({0, 1}, kStart + seconds(1));
+    CHECK(budget.place() == BalancerPlace{0, 40});
+    budget.set_place({0, 1}, kStart + seconds(2));
+    CHECK(budget.place() == BalancerPlace{0, 40});
+    CHECK(budget.counters().places_doubted == 4);
+    budget.set_place({0, 1}, kStart + seconds(61));
+    CHECK(budget.place() == BalancerPlace{0, 1});
+  }
+
+  TEST_CASE("one flow a turn, also while numbers change without pause") {
+    WarmUpBudget budget;
+    budget.begin(cold_target(5, seconds(100)), kStart);
+    std::size_t flows = 0;
+    for (int step = 0; step < 1000; ++step) {
+      const Instant now = kStart + milliseconds(10) * step;
+      budget.set_place({static_cast<std::uint32_t>(step * 31 % 80), 80}, now);
+      flows += placed(budget, now, now + milliseconds(10)).size();
+    }
+    // A round of 80 takes 20 s, and half of one passes at least between two flows.
+    CHECK(flows <= 1);
+  }
+
+  TEST_CASE("a target that is warm or forgotten costs nothing") {
+    WarmUpBudget budget;
+    budget.set_place({0, 1}, kStart);
+    budget.begin(cold_target(100, seconds(2)), kStart);
+    CHECK(budget.admission(kCold + 1, kStart) == WarmUpAdmission::kFree);
+    const auto flows =
+        static_cast<std::uint32_t>(placed(budget, kStart, kStart + seconds(2)).size());
+    CHECK(flows > 100);
+    CHECK(budget.admission(kCold, kStart + seconds(2)) == WarmUpAdmission::kFree);
+    const auto warmed = budget.take_warmed(kStart + seconds(2));
+    REQUIRE(warmed.size() == 1);
+    CHECK(warmed[0].id == kCold);
+    CHECK(warmed[0].flows == flows);
+    CHECK(budget.is_empty());
+    budget.begin(cold_target(100, seconds(9)), kStart);
+    budget.forget(kCold);
+    CHECK(budget.is_empty());
+  }
+
+  TEST_CASE("a cold target takes its turns, and the rest goes to warm ones") {
+    Fixture test(pool_of({target(1, 0), target(2, 0)}, 5000));
+    test.steering.set_place({0, 2}, test.now);
+    test.steering.apply(upsert(target(3, 4000)), test.now);
+    CHECK(test.steering.take_cooled() == std::vector<TargetId>{3});
+    auto flows = test.open_for(seconds(4));
+    CHECK(flows[0] == 0);
+    CHECK(flows[3] >= 6);
+    CHECK(flows[3] <= 8);
+    CHECK(test.steering.warm_up().counters().placed == static_cast<std::uint64_t>(flows[3]));
+    CHECK(test.steering.warm_up().counters().passed_over > 300);
+    CHECK(test.steering.warm_up().counters().refused == 0);
+    test.steering.on_tick(test.now);
+    REQUIRE(test.steering.take_warmed(test.now).size() == 1);
+    flows = test.open_for(seconds(4));
+    CHECK(flows[3] > 100);
+  }
+
+  TEST_CASE("without a bound nothing changes") {
+    Fixture test(pool_of({target(1, 0)}, 0));
+    test.steering.apply(upsert(target(2, 4000)), test.now);
+    CHECK(test.steering.warm_up().is_empty());
+    CHECK(test.open_for(seconds(1))[2] > 20);
+  }
+
+  TEST_CASE("where all are cold, flows beyond the budget are refused at once") {
+    Fixture test(pool_of({}, 10000));
+    test.steering.set_place({0, 1}, test.now);
+    test.steering.apply(upsert(target(1, 4000)), test.now);
+    auto flows = test.open_for(seconds(2));
+    CHECK(flows[1] >= 15);
+    CHECK(flows[1] <= 16);
+    CHECK(test.steering.warm_up().counters().refused == static_cast<std::uint64_t>(flows[0]));
+    CHECK(test.open().action == SteeringAction::kReset);
+    // A target that cannot be reached is no better.
+    test.now += seconds(3);
+    flows = test.open_for(milliseconds(100));
+    CHECK(flows[0] == 0);
+  }
+
+  TEST_CASE("a starting balancer serves from targets whose age it does not know, warm ones first") {
+    Fixture all_found(pool_of({target(1, 4000), target(2, 4000)}, 1000));
+    CHECK(all_found.open_for(seconds(1))[0] == 0);
+    Fixture some_warm(pool_of({target(1, 4000), target(2, 0)}, 1000));
+    CHECK(some_warm.open_for(seconds(1))[2] == 100);
+  }
+
+  TEST_CASE("a copy that meets another target counts there") {
+    Fixture test(pool_of({target(1, 0)}, 1000));
+    test.steering.set_place({0, 1}, test.now);
+    test.steering.apply(upsert(target(2, 9000)), test.now);
+    test.now += milliseconds(1300);
+    while (test.steering.warm_up().admission(2, test.now) != WarmUpAdmission::kNoTurn) {
+      test.now += milliseconds(10);
+    }
+    CallerPacket packet;
+    packet.flow = {{0x64500000, 1}, kFrontend};
+    packet.opens = true;
+    REQUIRE(test.steering.on_packet(packet, test.now).target->id == 1);
+    while (test.steering.warm_up().admission(2, test.now) != WarmUpAdmission::kTurn) {
+      test.now += milliseconds(10);
+    }
+    packet.copies_before = 2;
+    const SteeringDecision again = test.steering.on_packet(packet, test.now);
+    REQUIRE(again.target->id == 2);
+    CHECK(test.steering.warm_up().counters().placed == 1);
+    CHECK(test.steering.warm_up().admission(2, test.now) == WarmUpAdmission::kNoTurn);
+  }
+
+  TEST_CASE("new settings change the rate of targets that are cold, or lift the bound") {
+    const SteeringState state = pool_of({target(1, 0)}, 1000);
+    Fixture test(state);
+    test.steering.apply(upsert(target(2, 60000)), test.now);
+    CHECK(test.steering.warm_up().holds(2));
+    SteeringDelta lifted;
+    lifted.has_settings = true;
+    lifted.version = 2;
+    lifted.idle_timeout_ms = 60000;
+    lifted.pools = {{"alpha", 9}};
+    test.steering.apply(lifted, test.now);
+    CHECK(test.steering.warm_up().is_empty());
+  }
+
+  TEST_CASE("placing at warm targets allocates nothing for a budget") {
+    WarmUpBudget budget;
+    budget.set_place({0, 1}, kStart);
+    budget.begin(cold_target(5, seconds(20)), kStart);
+    const std::uint64_t before = allocation_count();
+    std::uint32_t free = 0;
+    for (TargetId id = 100; id < 1100; ++id) {
+      free += budget.admission(id, kStart) == WarmUpAdmission::kFree ? 1 : 0;
+      budget.on_placed(id, kStart);
+    }
+    CHECK(free == 1000);
+    CHECK(allocation_count() == before);
+  }
+
+  TEST_CASE("the leader numbers all balancers, those of its followers too") {
+    BalancerPlaces leader;
+    BalancerPlaces follower;
+    follower.on_heard({1, 1}, kStart);
+    follower.on_heard({2, 1}, kStart);
+    leader.on_elected(kStart);
+    leader.on_heard({3, 1}, kStart);
+    leader.on_reported(follower.local_balancers(kStart), kStart);
+    // At first a new leader has not heard all.
+    leader.number_all(kStart + seconds(1));
+    CHECK(leader.place_of({3, 1}, kStart + seconds(1)).count == 0);
+    const Instant later = kStart + seconds(4);
+    leader.number_all(later);
+    follower.on_told(leader.places_of(follower.local_balancers(kStart), later), later);
+    std::vector<std::uint32_t> numbers;
+    for (const auto& place : {leader.place_of({3, 1}, later), follower.place_of({1, 1}, later),
+                              follower.place_of({2, 1}, later)}) {
+      CHECK(place.count == 3);
+      numbers.push_back(place.number);
+    }
+    std::sort(numbers.begin(), numbers.end());
+    CHECK(numbers == std::vector<std::uint32_t>{0, 1, 2});
+    // A follower that hears of no leader tells nothing after a while.
+    CHECK(follower.place_of({1, 1}, later + seconds(11)).count == 0);
+  }
+
+  TEST_CASE("lost balancers keep their numbers for a while, a new leader begins anew") {
+    BalancerPlaces leader;
+    leader.on_elected(kStart);
+    leader.on_reported({{1, 1}, {2, 1}}, kStart);
+    leader.on_reported({{1, 1}}, kStart + seconds(50));
+    leader.number_all(kStart + seconds(50));
+    CHECK(leader.place_of({1, 1}, kStart + seconds(50)).count == 2);
+    leader.number_all(kStart + seconds(70));
+    CHECK(leader.place_of({1, 1}, kStart + seconds(70)).count == 1);
+    leader.on_elected(kStart + seconds(71));
+    leader.number_all(kStart + seconds(72));
+    CHECK(leader.place_of({1, 1}, kStart + seconds(72)).count == 0);
+  }
+}
+
+}  // namespace gorsevalve
