--- a/src/core/steering/flow_placement.cc
+++ b/src/core/steering/flow_placement.cc
@@ -13,10 +13,10 @@
 /// What speaks against a target, whatever its load is.
 enum class Doubt : std::uint8_t {
   kNone = 0,
-  /// Silent, or seen in trouble.
-  kTroubled = 1,
   /// It may be cold: it was here before this balancer was.
-  kUnknownAge = 2,
+  kUnknownAge = 1,
+  /// Silent, or seen in trouble.
+  kTroubled = 2,
   /// It certainly cannot be reached from here.
   kUnreachable = 3,
 };
@@ -46,12 +46,12 @@
   if (inputs.reachability.is_unreachable(target.id)) {
     return Doubt::kUnreachable;
   }
-  if (admission == WarmUpAdmission::kUnknownAge) {
-    return Doubt::kUnknownAge;
-  }
   const bool is_troubled =
       target.phase != TargetPhase::kReady || inputs.scores.is_suspected(target.id, now);
-  return is_troubled ? Doubt::kTroubled : Doubt::kNone;
+  if (is_troubled) {
+    return Doubt::kTroubled;
+  }
+  return admission == WarmUpAdmission::kUnknownAge ? Doubt::kUnknownAge : Doubt::kNone;
 }
 
 }  // namespace
--- a/src/core/steering/flow_steering.cc
+++ b/src/core/steering/flow_steering.cc
@@ -107,31 +107,6 @@
   }
 }
 
-void FlowSteering::note_warm_up(const RegisteredTarget& target, bool is_age_known, Instant now) {
-  const double rate = view_.cold_flows_per_s(target.pool);
-  const TargetScore* score = scores_.find(target.id);
-  const bool is_cold = rate > 0 && score != nullptr && now < score->warm_at;
-  if (!is_cold || target.phase == TargetPhase::kEnded) {
-    warm_up_.forget(target.id);
-    return;
-  }
-  if (warm_up_.begin({target.id, target.token, rate, score->warm_at, is_age_known}, now)) {
-    cooled_.push_back(target.id);
-  }
-}
-
-void FlowSteering::update_cold_rates() {
-  warm_up_.update_rates([this](TargetId id) {
-    const RegisteredTarget* target = view_.target_by_id(id);
-    return target == nullptr ? 0 : view_.cold_flows_per_s(target->pool);
-  });
-}
-
-std::vector<TargetId> FlowSteering::take_cooled() {
-  std::sort(cooled_.begin(), cooled_.end());
-  return std::exchange(cooled_, {});
-}
-
 void FlowSteering::confirm(Instant now) {
   is_confirmed_ = true;
   observes_from_ = now + kObservationPause;
--- a/tests/unit/test_warm_up_budget.cc
+++ b/tests/unit/test_warm_up_budget.cc
@@ -4,6 +4,8 @@
 #include <map>
 
 #include "allocation_counter.h"
+#include "codec/archive.h"
+#include "control_cluster.h"
 #include "core/control/balancer_places.h"
 #include "core/steering/flow_steering.h"
 #include "core/steering/warm_up_budget.h"
@@ -228,6 +230,11 @@
     CHECK(all_found.open_for(seconds(1))[0] == 0);
     Fixture some_warm(pool_of({target(1, 4000), target(2, 0)}, 1000));
     CHECK(some_warm.open_for(seconds(1))[2] == 100);
+    // A silent target is worse than one that may be cold.
+    RegisteredTarget silent = target(2, 0);
+    silent.phase = TargetPhase::kSilent;
+    Fixture some_silent(pool_of({target(1, 4000), silent}, 1000));
+    CHECK(some_silent.open_for(seconds(1))[1] == 100);
   }
 
   TEST_CASE("a copy that meets another target counts there") {
@@ -306,6 +313,40 @@
     CHECK(follower.place_of({1, 1}, later + seconds(11)).count == 0);
   }
 
+  TEST_CASE("answers to heartbeats tell the places, at the leader and at its followers") {
+    control_cluster::Cluster cluster;
+    cluster.run(seconds(3));
+    REQUIRE(cluster.leader() != 0);
+    std::vector<BalancerPlace> told(3);
+    for (int turn = 0; turn < 6; ++turn) {
+      for (std::uint32_t i = 1; i <= 3; ++i) {
+        NodeHeartbeat heartbeat;
+        heartbeat.member.address = {100 + i, 6000};
+        heartbeat.member.state = MemberState::kObserver;
+        cluster.node(i).on_node_message({100 + i, 6000}, heartbeat, cluster.now());
+        for (const auto& [to, message] : cluster.output(i).to_nodes) {
+          const auto* reply = std::get_if<HeartbeatReply>(&message);
+          if (reply != nullptr && to == Endpoint{100 + i, 6000}) {
+            told[i - 1] = reply->place;
+          }
+        }
+      }
+      cluster.run(seconds(1));
+    }
+    std::vector<std::uint32_t> numbers;
+    for (const auto& place : told) {
+      CHECK(place.count == 3);
+      numbers.push_back(place.number);
+    }
+    std::sort(numbers.begin(), numbers.end());
+    CHECK(numbers == std::vector<std::uint32_t>{0, 1, 2});
+    // Twice a second, of the 3 KB/s that a balancer may take for control.
+    HeartbeatReply without;
+    HeartbeatReply with;
+    with.place = {749, 750};
+    CHECK(encode_archive(with).size() - encode_archive(without).size() <= 8);
+  }
+
   TEST_CASE("lost balancers keep their numbers for a while, a new leader begins anew") {
     BalancerPlaces leader;
     leader.on_elected(kStart);
