--- a/tests/sim/test_warm_up_workload.cc
+++ b/tests/sim/test_warm_up_workload.cc
@@ -53,14 +53,15 @@
  public:
   Workload(std::uint64_t seed, const SteeringFaults& faults) : random_(seed), faults_(faults) {
     constexpr std::array<std::uint32_t, 5> kRates = {2, 3, 5, 10, 20};
-    rate_ = kRates[seed % kRates.size()];
+    const std::uint32_t rate = kRates[seed % kRates.size()];
+    rate_ = rate;
     warm_up_ = milliseconds(2000 + 1000 * (seed % 3));
     has_new_leader_ = seed % 2 == 0;
     state_.settings.version = 1;
     state_.settings.idle_timeout_ms = 60000;
     Pool pool{"alpha", 9};
     pool.warm_up_ms = static_cast<std::uint32_t>(warm_up_ / milliseconds(1));
-    pool.cold_flows_per_1000_s = rate_ * 1000;
+    pool.cold_flows_per_1000_s = rate * 1000;
     state_.settings.pools = {pool};
     state_.settings.frontends.push_back({"f", kFrontend, {{"alpha", 1}}, {}, 1000, 100});
     for (TargetId id = 1; id <= kTargets; ++id) {
