--- a/src/core/steering/flow_steering.cc
+++ b/src/core/steering/flow_steering.cc
@@ -63,6 +63,10 @@
   view_.reset(state);
   scores_.adopt(state.targets, now);
   placement_.adopt(view_);
+  update_cold_rates();
+  for (const auto& target : state.targets) {
+    note_warm_up(target, false, now);
+  }
   // A whole state does not tell who came first; but of two at an address the silent one is gone.
   for (const auto& target : state.targets) {
     if (target.phase == TargetPhase::kReady) {
@@ -85,15 +89,20 @@
 
 void FlowSteering::apply(const SteeringDelta& delta, Instant now) {
   view_.apply(delta);
+  if (delta.has_settings) {
+    update_cold_rates();
+  }
   for (const auto& target : delta.upserted_targets) {
     const bool is_new = scores_.find(target.id) == nullptr;
     scores_.on_target(target, now);
+    note_warm_up(target, true, now);
     if (is_new && target.phase != TargetPhase::kEnded) {
       note_replaced(target, [](const RegisteredTarget& /*other*/) { return true; });
     }
   }
   for (const TargetId id : delta.forgotten_targets) {
     scores_.on_forgotten(id);
+    warm_up_.forget(id);
     reachability_.forget(id);
   }
   for (const auto& address : delta.removed_frontends) {
@@ -181,6 +190,7 @@
   }
   note(packet, target->id, now);
   scores_.on_placed(target->id);
+  warm_up_.on_placed(target->id, now);
   if (packet.copies_before == 0 && now >= observes_from_) {
     openings_.push_back({packet.flow, target->id, now});
   }
--- a/src/tasks/log_events.h
+++ b/src/tasks/log_events.h
@@ -53,6 +53,8 @@
   kTargetUnreachable,
   kTargetReachable,
   kLinkBusy,
+  kWarmUpBegan,
+  kWarmUpEnded,
   kAcceptingPaused,
   kLoopStalled,
   kClusterFounded,
@@ -161,6 +163,11 @@
         {LogEvent::kLinkBusy, "link_busy", LogLevel::kInfo, LogClass::kRoutine,
          "Packets wait for the machine's own link: how many, how long the last one waited, what "
          "the link carries, and what was spared or dropped since the start."},
+        {LogEvent::kWarmUpBegan, "warm_up_began", LogLevel::kInfo, LogClass::kState,
+         "Targets turned cold: they take few new flows until they are warm, from all balancers "
+         "together; `balancers` share them by turns, 0 while this one knows no place."},
+        {LogEvent::kWarmUpEnded, "warm_up_ended", LogLevel::kInfo, LogClass::kState,
+         "Targets are warm; `flows` were placed there from here while they were cold."},
         {LogEvent::kAcceptingPaused, "accepting_paused", LogLevel::kWarning, LogClass::kState,
          "A listener holds as many connections as it may, or there is no descriptor left; others "
          "wait until one closes."},
