A refusal for want of a turn is counted once, and only where no other pool took the flow

Cause: the counter of refused flows was raised for each pool without a choice, also when another pool of the frontend served the flow (found while reading).

Change: FlowPlacement counts when a flow found no target at all; test with two pools.

--- a/src/core/steering/flow_placement.cc
+++ b/src/core/steering/flow_placement.cc
@@ -93,8 +93,30 @@
       target = best_of(inputs, share.pool, packet, avoided, now);
     }
   }
-  // The avoided target is better than none.
-  return target == nullptr && avoided != 0 ? place(inputs, frontend, packet, 0, now) : target;
+  if (target != nullptr) {
+    return target;
+  }
+  if (avoided != 0) {
+    // The avoided target is better than none.
+    return place(inputs, frontend, packet, 0, now);
+  }
+  count_refusal(inputs, frontend, now);
+  return nullptr;
+}
+
+void FlowPlacement::count_refusal(const PlacementInputs& inputs, const FrontendView& frontend,
+                                  Instant now) {
+  const auto waits_for_turn = [&](const RegisteredTarget* target) {
+    return inputs.warm_up.admission(target->id, now) == WarmUpAdmission::kNoTurn;
+  };
+  const bool has_cold =
+      std::any_of(frontend.shares.begin(), frontend.shares.end(), [&](const PoolShare& share) {
+        const auto& targets = inputs.view.pool_targets(share.pool);
+        return share.weight > 0 && std::any_of(targets.begin(), targets.end(), waits_for_turn);
+      });
+  if (has_cold) {
+    inputs.warm_up.on_refused();
+  }
 }
 
 double FlowPlacement::typical_answer_us(const PlacementInputs& inputs, std::uint32_t pool,
@@ -164,9 +186,7 @@
   }
   // The bound is the operator's: a target beyond what it carries cold answers all of its callers
   // late, while a caller that is refused at once meets another balancer, which may have the turn.
-  const bool is_refused = best == nullptr || best_rank.doubt == Doubt::kUnreachable;
-  if (is_refused) {
-    inputs.warm_up.on_refused();
+  if (best == nullptr || best_rank.doubt == Doubt::kUnreachable) {
     return nullptr;
   }
   inputs.warm_up.on_passed_over();
--- a/src/core/steering/flow_placement.h
+++ b/src/core/steering/flow_placement.h
@@ -42,6 +42,9 @@
   /// Usual time of an answer in a pool, in microseconds; 0 when unknown.
   [[nodiscard]] static double typical_answer_us(const PlacementInputs& inputs, std::uint32_t pool,
                                                 Instant now);
+  /// Notes a flow without a target where targets of the frontend wait for their turn.
+  static void count_refusal(const PlacementInputs& inputs, const FrontendView& frontend,
+                            Instant now);
   /// The pool whose turn it is by weight (smooth weighted round robin).
   std::uint32_t next_pool(const FrontendView& frontend);
   [[nodiscard]] const RegisteredTarget* best_of(const PlacementInputs& inputs, std::uint32_t pool,
--- a/tests/unit/test_warm_up_budget.cc
+++ b/tests/unit/test_warm_up_budget.cc
@@ -225,6 +225,21 @@
     CHECK(flows[0] == 0);
   }
 
+  TEST_CASE("the other pools of a frontend take what a cold pool may not") {
+    SteeringState state = pool_of({}, 1000);
+    state.settings.pools.push_back({"beta", 9});
+    state.settings.frontends[0].pools = {{"alpha", 9}, {"beta", 1}};
+    state.targets = {target(1, 0)};
+    state.targets[0].pool = "beta";
+    Fixture test(state);
+    test.steering.set_place({0, 1}, test.now);
+    test.steering.apply(upsert(target(2, 4000)), test.now);
+    auto flows = test.open_for(seconds(2));
+    CHECK(flows[0] == 0);
+    CHECK(flows[1] >= 197);
+    CHECK(test.steering.warm_up().counters().refused == 0);
+  }
+
   TEST_CASE("a starting balancer serves from targets whose age it does not know, warm ones first") {
     Fixture all_found(pool_of({target(1, 4000), target(2, 4000)}, 1000));
     CHECK(all_found.open_for(seconds(1))[0] == 0);
