Take no full target for gone because it refuses probes

Change: refusals decide only together with a flow that gets nothing back: a target that lives acknowledges what comes again, so data that a caller sends for the third time over a free link tells, if a probe of the moment of the second copy was refused, i.e. the way to the machine was open. A case with refusals waits for that, at most as long as two copies are apart. A reference that refuses shows as well that this balancer can hear; a target that refuses one probe is not silent.

Price: a gone process on a living machine is told at the third copy (600 ms after the request, or 1.4 s where answers take long) instead of at the second one (200 ms). Silence is judged as before.

--- a/src/core/steering/flow_steering.cc
+++ b/src/core/steering/flow_steering.cc
@@ -329,7 +329,8 @@
   if (now - entry.data_at < kRepeatedAfter) {
     return;
   }
-  const bool is_explained = may_be_own_link(entry.data_at);
+  const Instant sent_at = entry.data_at;
+  const bool is_explained = may_be_own_link(sent_at);
   entry.data_at = now;
   ++entry.repeats;
   if (is_explained && entry.repeats < kRepeatsOnBusyLink) {
@@ -341,6 +342,9 @@
   if (entry.repeats > 1 || (is_prompt && !answered_others)) {
     suspect(entry.target, now);
   }
+  if (entry.repeats > 1 && !is_explained) {
+    reachability_.on_silent_flow(entry.target, sent_at);
+  }
 }
 
 void FlowSteering::note(const CallerPacket& packet, TargetId target, Instant now) {
--- a/src/core/steering/target_reachability.cc
+++ b/src/core/steering/target_reachability.cc
@@ -17,6 +17,9 @@
 constexpr std::uint32_t kReferenceProbe = 2;
 /// Refusals that count: one may come from a target that is just starting to listen.
 constexpr std::uint32_t kRefusals = 2;
+/// A case with refusals waits for this long after its last probe for a flow that gets nothing back:
+/// a caller's copies at 0.2, 0.6, 1.4 and 3.0 s are 1.6 s apart at most.
+constexpr Duration kRefusedWait = milliseconds(1700);
 /// The last probe is waited for at least this long, and for this multiple of the time that the
 /// reference took.
 constexpr Duration kAnswerTime = milliseconds(60);
@@ -75,6 +78,15 @@
   suspected.met_congestion = is_link_congested_;
 }
 
+void TargetReachability::on_silent_flow(TargetId target, Instant sent_at) {
+  const auto found = cases_.find(target);
+  if (found == cases_.end() || !found->second.refused_at) {
+    return;
+  }
+  const bool was_open = *found->second.refused_at <= sent_at + kStepInterval;
+  found->second.has_silent_flow = found->second.has_silent_flow || was_open;
+}
+
 void TargetReachability::set_link_congested(bool is_congested, Instant now) {
   is_link_congested_ = is_congested && !faults_.ignore_congestion;
   for (auto& [target, suspected] : cases_) {
@@ -180,12 +192,11 @@
   const SentProbe sent = found->second;
   sent_.erase(found);
   if (sent.reference_for != 0) {
-    if (answer == ProbeAnswer::kAccepted) {
-      on_reference_answer(sent, now);
-    }
+    // A refusal shows as well that this balancer can hear.
+    on_reference_answer(sent, now);
     return;
   }
-  on_target_answer(sent.target, answer, now);
+  on_target_answer(sent, answer, now);
 }
 
 void TargetReachability::leave_undecided(TargetId target, Instant now) {
@@ -214,12 +225,15 @@
   }
 }
 
-void TargetReachability::on_target_answer(TargetId target, ProbeAnswer answer, Instant now) {
+void TargetReachability::on_target_answer(const SentProbe& probe, ProbeAnswer answer, Instant now) {
+  const TargetId target = probe.target;
   const auto suspected = cases_.find(target);
   const auto unreachable = unreachable_.find(target);
   if (answer == ProbeAnswer::kRefused) {
     if (suspected != cases_.end()) {
-      ++suspected->second.refusals;
+      Case& found = suspected->second;
+      ++found.refusals;
+      found.refused_at = std::min(found.refused_at.value_or(probe.at), probe.at);
     }
     if (unreachable != unreachable_.end()) {
       unreachable->second.accepted = 0;
@@ -247,9 +261,14 @@
   if (!suspected.reference_took && !faults_.ignore_references) {
     return std::nullopt;
   }
-  if (suspected.refusals >= kRefusals) {
+  const bool refusals_count = suspected.has_silent_flow || faults_.trust_refusals;
+  if (suspected.refusals >= kRefusals && refusals_count) {
     return UnreachableReason::kRefused;
   }
+  if (suspected.refusals > 0) {
+    // Something answers there: this is no silence.
+    return std::nullopt;
+  }
   if (suspected.probes < kProbes || suspected.met_congestion) {
     return std::nullopt;
   }
@@ -263,7 +282,8 @@
   if (suspected.met_congestion) {
     return now - suspected.since > kLongestCase;
   }
-  return suspected.probes >= kProbes && now - suspected.probed_at > kUndecidedAfter;
+  const Duration wait = suspected.refusals > 0 ? kRefusedWait : kUndecidedAfter;
+  return suspected.probes >= kProbes && now - suspected.probed_at > wait;
 }
 
 std::vector<UnreachableTarget> TargetReachability::conclude(Instant now) {
--- a/src/core/steering/target_reachability.h
+++ b/src/core/steering/target_reachability.h
@@ -68,6 +68,8 @@
   bool ignore_references = false;
   /// Counts the silence of probes while the own link is congested.
   bool ignore_congestion = false;
+  /// Counts refusals although no flow is known to get nothing back.
+  bool trust_refusals = false;
 };
 
 class TargetReachability {
@@ -78,6 +80,10 @@
   /// Something points to a target that does not answer; does nothing where it may not be suspected.
   /// `references` are other targets that answered lately; without one, silence proves nothing.
   void suspect(TargetId target, const std::vector<TargetId>& references, Instant now);
+  /// A caller repeats data that it had sent again at `sent_at`, over a link that was free: a target
+  /// that lives acknowledges what comes again, so it did not get that, or is gone. It counts when a
+  /// probe of that moment was refused: the way to the machine was open.
+  void on_silent_flow(TargetId target, Instant sent_at);
   /// Another target announced itself later at the address of this one: what is accepted there says
   /// nothing of this one any more.
   void on_replaced(TargetId target) { replaced_.insert(target); }
@@ -123,6 +129,10 @@
     /// Probes that count.
     std::uint32_t probes = 0;
     std::uint32_t refusals = 0;
+    /// When the first probe that was refused was sent.
+    std::optional<Instant> refused_at;
+    /// A flow at the target gets nothing back, although the way there is open.
+    bool has_silent_flow = false;
     /// The own link was congested since then, so that silence counts for nothing.
     bool met_congestion = false;
     /// How long the first reference to answer took.
@@ -149,7 +159,7 @@
   void on_reference_answer(const SentProbe& probe, Instant now);
   /// The target lives and can be reached.
   void clear(TargetId target, Instant now);
-  void on_target_answer(TargetId target, ProbeAnswer answer, Instant now);
+  void on_target_answer(const SentProbe& probe, ProbeAnswer answer, Instant now);
   [[nodiscard]] std::optional<UnreachableReason> verdict(TargetId target, const Case& suspected,
                                                          Instant now) const;
 
