--- a/src/core/steering/flow_placement.cc
+++ b/src/core/steering/flow_placement.cc
@@ -39,12 +39,14 @@
   return -std::log(uniform) / weight;
 }
 
-Doubt doubt_of(const PlacementInputs& inputs, const RegisteredTarget& target, Instant now) {
-  if (inputs.reachability.is_unreachable(target.id)) {
+Doubt doubt_of(const PlacementInputs& inputs, const RegisteredTarget& target,
+               std::uint64_t flow_key, Instant now) {
+  if (inputs.reachability.is_unreachable(target.id) || inputs.zone_paths.is_cut(target.id)) {
     return Doubt::kUnreachable;
   }
-  const bool is_troubled =
-      target.phase != TargetPhase::kReady || inputs.scores.is_suspected(target.id, now);
+  const bool is_troubled = target.phase != TargetPhase::kReady ||
+                           inputs.scores.is_suspected(target.id, now) ||
+                           !inputs.zone_paths.admits(target.id, flow_key, now);
   return is_troubled ? Doubt::kTroubled : Doubt::kNone;
 }
 
@@ -126,7 +128,7 @@
     if (target.id == avoided) {
       continue;
     }
-    const Rank rank{doubt_of(inputs, target, now),
+    const Rank rank{doubt_of(inputs, target, flow_key, now),
                     rounded(inputs.scores.load(target, typical_us, now)),
                     race_time(rendezvous_score(flow_key, target.token, kTieSalt),
                               inputs.scores.preference(target))};
--- a/src/core/steering/flow_placement.h
+++ b/src/core/steering/flow_placement.h
@@ -12,6 +12,7 @@
 #include "core/steering/steering_view.h"
 #include "core/steering/target_reachability.h"
 #include "core/steering/target_scores.h"
+#include "core/steering/zone_paths.h"
 
 namespace gorsevalve {
 
@@ -20,6 +21,7 @@
   const SteeringView& view;
   const TargetScores& scores;
   const TargetReachability& reachability;
+  const ZonePaths& zone_paths;
 };
 
 class FlowPlacement {
--- a/src/core/steering/flow_steering.cc
+++ b/src/core/steering/flow_steering.cc
@@ -60,6 +60,10 @@
   view_.reset(state);
   scores_.adopt(state.targets, now);
   placement_.adopt(view_);
+  zone_paths_.clear_targets();
+  for (const auto& target : state.targets) {
+    zone_paths_.on_target(target);
+  }
   // A whole state does not tell who came first; but of two at an address the silent one is gone.
   for (const auto& target : state.targets) {
     if (target.phase == TargetPhase::kReady) {
@@ -85,6 +89,7 @@
   for (const auto& target : delta.upserted_targets) {
     const bool is_new = scores_.find(target.id) == nullptr;
     scores_.on_target(target, now);
+    zone_paths_.on_target(target);
     if (is_new && target.phase != TargetPhase::kEnded) {
       note_replaced(target, [](const RegisteredTarget& /*other*/) { return true; });
     }
@@ -92,6 +97,7 @@
   for (const TargetId id : delta.forgotten_targets) {
     scores_.on_forgotten(id);
     reachability_.forget(id);
+    zone_paths_.on_forgotten(id);
   }
   for (const auto& address : delta.removed_frontends) {
     placement_.on_frontend_dropped(address);
@@ -107,6 +113,8 @@
   observes_from_ = Instant::max();
   openings_.clear();
   requests_.clear();
+  late_openings_ = 0;
+  late_requests_ = 0;
 }
 
 SteeringDecision FlowSteering::on_packet(const CallerPacket& packet, Instant now) {
@@ -116,6 +124,7 @@
   if (!is_confirmed_) {
     return follow_unconfirmed(packet, now);
   }
+  check_late(now);
   const FrontendView* frontend = view_.frontend(packet.flow.frontend);
   if (frontend != nullptr) {
     return packet.opens ? open(*frontend, packet, now) : follow(*frontend, packet, now);
@@ -155,8 +164,9 @@
       scores_.on_unanswered(entry->target, now);
       suspect(entry->target, now);
     }
-    const bool is_doubted =
-        scores_.is_suspected(entry->target, now) || reachability_.is_unreachable(entry->target);
+    const bool is_doubted = scores_.is_suspected(entry->target, now) ||
+                            reachability_.is_unreachable(entry->target) ||
+                            zone_paths_.is_cut(entry->target);
     if (usable && packet.copies_before <= policy_.copies_at_same_target && !is_doubted) {
       return {SteeringAction::kForward, SteeringReason::kCopy, before};
     }
@@ -198,7 +208,7 @@
     target = other == nullptr ? target : other;
   }
   note(packet, target->id, now);
-  if (reachability_.is_unreachable(target->id)) {
+  if (reachability_.is_unreachable(target->id) || is_cut_off(frontend, packet, target->id, now)) {
     const SteeringAction action = packet.resets ? SteeringAction::kDrop : SteeringAction::kReset;
     return {action, SteeringReason::kTargetUnreachable, nullptr};
   }
@@ -206,8 +216,10 @@
 }
 
 void FlowSteering::suspect(TargetId target, Instant now) {
+  doubt_zone(target, now, now);
   // Looking for references walks all targets, so it comes last.
-  if (policy_.probes <= 0 || !is_confirmed_ || !reachability_.may_suspect(target, now)) {
+  if (policy_.probes <= 0 || !is_confirmed_ || !reachability_.may_suspect(target, now) ||
+      zone_paths_.is_cut(target)) {
     return;
   }
   reachability_.suspect(target, scores_.latest_answered(kReferences, target, now), now);
@@ -223,10 +235,13 @@
 
 std::vector<TargetProbe> FlowSteering::take_probes(Instant now) {
   std::vector<TargetProbe> probes;
-  for (const auto& request : reachability_.take_probes(now)) {
+  std::vector<ProbeRequest> requests = zone_paths_.take_probes(now);
+  const std::vector<ProbeRequest> single = reachability_.take_probes(now);
+  requests.insert(requests.end(), single.begin(), single.end());
+  for (const auto& request : requests) {
     const RegisteredTarget* target = view_.target_by_id(request.target);
     if (target == nullptr) {
-      reachability_.on_not_sent(request.number, now);
+      on_probe_not_sent(request.number, now);
     } else {
       probes.push_back({request.number, target->address});
     }
@@ -242,6 +257,12 @@
   return concluded;
 }
 
+void FlowSteering::sort_by_flow(std::vector<FlowReset>& resets) {
+  std::sort(resets.begin(), resets.end(), [](const FlowReset& a, const FlowReset& b) {
+    return std::pair(a.flow.caller, a.flow.frontend) < std::pair(b.flow.caller, b.flow.frontend);
+  });
+}
+
 std::vector<FlowReset> FlowSteering::end_flows_at(TargetId target) {
   std::vector<FlowReset> resets;
   flows_.visit_open(target, [&](const SteeredFlow& flow, FlowEntry& entry) {
@@ -250,10 +271,7 @@
     entry.request_since.reset();
     entry.phase = FlowPhase::kClosing;
   });
-  // The order of the table must not show.
-  std::sort(resets.begin(), resets.end(), [](const FlowReset& a, const FlowReset& b) {
-    return std::pair(a.flow.caller, a.flow.frontend) < std::pair(b.flow.caller, b.flow.frontend);
-  });
+  sort_by_flow(resets);
   return resets;
 }
 
@@ -282,6 +300,7 @@
   const bool answered = packet.acknowledged != entry.acknowledged;
   if (answered) {
     reachability_.on_progress(entry.target, now);
+    zone_paths_.on_progress(entry.target, entry.request_since.value_or(entry.last_seen), now);
   }
   if (entry.request_since && answered) {
     scores_.on_answer(entry.target, now - *entry.request_since, now);
@@ -375,6 +394,7 @@
       scores_.on_refused(opening.target, now);
     }
     openings_.pop_front();
+    late_openings_ -= std::min<std::size_t>(late_openings_, 1);
   }
 }
 
@@ -388,10 +408,12 @@
       scores_.on_stalled(request.target);
     }
     requests_.pop_front();
+    late_requests_ -= std::min<std::size_t>(late_requests_, 1);
   }
 }
 
 void FlowSteering::check_expectations(Instant now) {
+  check_late(now);
   check_openings(now);
   check_requests(now);
 }
--- a/src/core/steering/flow_steering.h
+++ b/src/core/steering/flow_steering.h
@@ -14,6 +14,7 @@
 #include "core/steering/steering_view.h"
 #include "core/steering/target_reachability.h"
 #include "core/steering/target_scores.h"
+#include "core/steering/zone_paths.h"
 
 namespace gorsevalve {
 
@@ -57,6 +58,7 @@
   bool ignore_token = false;
   bool accept_foreign_tokens = false;
   ReachabilityFaults reachability;
+  ZonePathFaults zone_paths;
 };
 
 /// A connection to open, to see whether a target can be reached.
@@ -68,9 +70,9 @@
 class FlowSteering {
  public:
   /// `seed` makes balancers break ties differently; targets in `zone` are near.
-  explicit FlowSteering(std::uint64_t seed, std::string zone = {},
+  explicit FlowSteering(std::uint64_t seed, const std::string& zone = {},
                         const SteeringPolicy& policy = {})
-      : policy_(policy), placement_(seed, policy), scores_(std::move(zone), policy) {}
+      : policy_(policy), placement_(seed, policy), scores_(zone, policy), zone_paths_(zone) {}
 
   /// Takes a newer state. Never called with an older one.
   void adopt(const SteeringState& state, Instant now);
@@ -103,20 +105,29 @@
   /// Probes of targets, to be sent now. What becomes of each is told by `on_probe_answer`, or by
   /// `on_probe_not_sent`; silence needs no telling.
   [[nodiscard]] std::vector<TargetProbe> take_probes(Instant now);
-  void on_probe_answer(std::uint64_t number, ProbeAnswer answer, Instant now) {
-    reachability_.on_answer(number, answer, now);
-  }
-  void on_probe_not_sent(std::uint64_t number, Instant now) {
-    reachability_.on_not_sent(number, now);
-  }
+  void on_probe_answer(std::uint64_t number, ProbeAnswer answer, Instant now);
+  void on_probe_not_sent(std::uint64_t number, Instant now);
   /// Targets that cannot be reached since now. Flows at them are reset with their next packet.
   [[nodiscard]] std::vector<UnreachableTarget> conclude_reachability(Instant now);
   /// Targets that turned out to be reachable again, each told once.
   [[nodiscard]] std::vector<TargetId> take_restored() { return reachability_.take_restored(); }
   /// Ends the open flows at a target, so that their callers need not find out with a request.
   [[nodiscard]] std::vector<FlowReset> end_flows_at(TargetId target);
+  /// Paths to zones that are cut or back since the last call. To be called
+  /// before `conclude_reachability`: a zone is judged before its targets.
+  /// `is_link_congested`: the own link is so busy that silence says nothing.
+  [[nodiscard]] std::vector<ZonePathChange> conclude_zone_paths(bool is_link_congested,
+                                                                Instant now);
+  /// Ends open flows into zones whose path is cut, so that their callers need not find out with a
+  /// request. Flows with a request under way that runs at most once go on until it is answered: an
+  /// answer may still come to those that got across, and nothing else serves their callers. To be
+  /// called now and then while a path is cut.
+  [[nodiscard]] std::vector<FlowReset> end_flows_cut_off(Instant now);
+  [[nodiscard]] const ZonePaths& zone_paths() const { return zone_paths_; }
   /// True while probes are under way: take, conclude each `TargetReachability::kStepInterval`.
-  [[nodiscard]] bool is_probing() const { return reachability_.is_probing(); }
+  [[nodiscard]] bool is_probing() const {
+    return reachability_.is_probing() || zone_paths_.is_looking();
+  }
   [[nodiscard]] std::size_t unreachable_targets() const { return reachability_.unreachable(); }
 
   /// True once settings are in force.
@@ -126,18 +137,35 @@
   void set_faults(const SteeringFaults& faults) {
     faults_ = faults;
     reachability_.set_faults(faults.reachability);
+    zone_paths_.set_faults(faults.zone_paths);
   }
 
  private:
   [[nodiscard]] SteeringDecision follow_unconfirmed(const CallerPacket& packet, Instant now);
   SteeringDecision open(const FrontendView& frontend, const CallerPacket& packet, Instant now);
   SteeringDecision follow(const FrontendView& frontend, const CallerPacket& packet, Instant now);
-  [[nodiscard]] PlacementInputs inputs() const { return {view_, scores_, reachability_}; }
+  [[nodiscard]] PlacementInputs inputs() const {
+    return {view_, scores_, reachability_, zone_paths_};
+  }
   void note(const CallerPacket& packet, TargetId target, Instant now);
   void note_request(FlowEntry& entry, const CallerPacket& packet, Instant now);
   /// Notes data that the caller sends again since its target did not acknowledge it.
   void note_repeat(FlowEntry& entry, const CallerPacket& packet, Instant now);
   void suspect(TargetId target, Instant now);
+  /// The order of the flow table must not show in what is sent.
+  static void sort_by_flow(std::vector<FlowReset>& resets);
+  /// Looks at the target's zone, since what was sent to the target at `sent_at`
+  /// is not answered.
+  void doubt_zone(TargetId target, Instant sent_at, Instant now);
+  /// Doubts the zones of targets that have left something unanswered for longer
+  /// than usual.
+  void check_late(Instant now);
+  /// True when packets of this flow still go to a target beyond a path that is
+  /// cut.
+  [[nodiscard]] static bool may_wait(const FrontendView& frontend, const FlowEntry& entry,
+                                     Instant now);
+  [[nodiscard]] bool is_cut_off(const FrontendView& frontend, const CallerPacket& packet,
+                                TargetId target, Instant now);
   /// Notes that those others at the target's address that the condition names are gone.
   template <typename Condition>
   void note_replaced(const RegisteredTarget& target, Condition is_gone);
@@ -162,8 +190,14 @@
   /// Flows that were placed, and requests that began lately, in order.
   std::deque<Expectation> openings_;
   std::deque<Expectation> requests_;
+  /// How many of them, from the front, `check_late` has seen.
+  std::size_t late_openings_ = 0;
+  std::size_t late_requests_ = 0;
+  /// When flows into zones that are cut off were ended last.
+  Instant flows_ended_at_;
   TargetScores scores_;
   TargetReachability reachability_;
+  ZonePaths zone_paths_;
   SteeringFaults faults_;
 };
 
--- a/src/core/steering/flow_table.cc
+++ b/src/core/steering/flow_table.cc
@@ -22,14 +22,22 @@
   return &slot;
 }
 
-void FlowTable::visit_open(TargetId target, const EntryVisitor& visit) {
+void FlowTable::visit_open(const EntryVisitor& visit) {
   for (auto& [flow, entry] : entries_) {
-    if (entry.target == target && entry.phase == FlowPhase::kOpen) {
+    if (entry.phase == FlowPhase::kOpen) {
       visit(flow, entry);
     }
   }
 }
 
+void FlowTable::visit_open(TargetId target, const EntryVisitor& visit) {
+  visit_open([&](const SteeredFlow& flow, FlowEntry& entry) {
+    if (entry.target == target) {
+      visit(flow, entry);
+    }
+  });
+}
+
 void FlowTable::expire(Duration idle_timeout, Instant now, const Visitor& on_expired) {
   absl::erase_if(entries_, [&](const auto& item) {
     const FlowEntry& entry = item.second;
--- a/src/core/steering/flow_table.h
+++ b/src/core/steering/flow_table.h
@@ -57,6 +57,8 @@
   FlowEntry* insert(const SteeredFlow& flow, const FlowEntry& entry);
   /// Drops entries that have rested for longer than their phase allows; tells each.
   void expire(Duration idle_timeout, Instant now, const Visitor& on_expired);
+  /// Shows all entries of open flows, in no order.
+  void visit_open(const EntryVisitor& visit);
   /// Shows all entries of open flows at a target, in no order.
   void visit_open(TargetId target, const EntryVisitor& visit);
   [[nodiscard]] std::size_t size() const { return entries_.size(); }
--- /dev/null
+++ b/src/core/steering/zone_paths.cc
@@ -0,0 +1,360 @@
+#include "core/steering/zone_paths.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace gorsevalve {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Pause after a look that was answered; doubled each time, since zones with long queues raise
+/// doubts all the time, and forgotten after a quiet while.
+constexpr Duration kLookPause = milliseconds(250);
+constexpr Duration kMaxLookPause = seconds(4);
+constexpr Duration kLookPauseForgotten = seconds(8);
+/// Pause after one that could not be decided: half of the time after which callers repeat.
+constexpr Duration kUndecidedPause = milliseconds(100);
+/// Pause between two looks whether a path is back, and the targets that one probes.
+constexpr Duration kReturnInterval = milliseconds(250);
+constexpr std::size_t kReturnProbes = 3;
+/// Different targets that must answer in two looks on end.
+constexpr std::size_t kReturnAnswers = 3;
+/// In this time the part of new flows that may go back there grows from none to all: as long as
+/// figures of all balancers need to show what came, with room for what was placed meanwhile.
+constexpr Duration kReturnTime = seconds(2);
+/// Answers that come later than this tell nothing.
+constexpr Duration kProbeLifetime = seconds(1);
+constexpr std::uint64_t kHashRange = 1U << 16U;
+
+void add_once(std::vector<TargetId>& targets, TargetId target) {
+  if (std::find(targets.begin(), targets.end(), target) == targets.end()) {
+    targets.push_back(target);
+  }
+}
+
+}  // namespace
+
+void ZonePaths::clear_targets() {
+  by_target_.clear();
+  for (auto& zone : zones_) {
+    zone.targets.clear();
+  }
+}
+
+std::size_t ZonePaths::zone_index(const std::string& name) {
+  const auto found = std::find_if(zones_.begin(), zones_.end(),
+                                  [&](const Zone& zone) { return zone.name == name; });
+  if (found == zones_.end() && zones_.size() < kMaxZones) {
+    zones_.emplace_back().name = name;
+    return zones_.size() - 1;
+  }
+  return static_cast<std::size_t>(found - zones_.begin());
+}
+
+void ZonePaths::on_target(const RegisteredTarget& target) {
+  if (target.phase == TargetPhase::kEnded) {
+    on_forgotten(target.id);
+    return;
+  }
+  if (target.zone.empty() || by_target_.contains(target.id)) {
+    return;
+  }
+  const std::size_t index = zone_index(target.zone);
+  if (index < zones_.size()) {
+    by_target_[target.id] = index;
+    zones_[index].targets.push_back(target.id);
+  }
+}
+
+void ZonePaths::on_forgotten(TargetId target) {
+  const auto found = by_target_.find(target);
+  if (found != by_target_.end()) {
+    std::erase(zones_[found->second].targets, target);
+    by_target_.erase(found);
+  }
+}
+
+const ZonePaths::Zone* ZonePaths::zone_of(TargetId target) const {
+  const auto found = by_target_.find(target);
+  return found == by_target_.end() ? nullptr : &zones_[found->second];
+}
+
+bool ZonePaths::is_cut(TargetId target) const {
+  if (cut_ == 0) {
+    return false;
+  }
+  const Zone* zone = zone_of(target);
+  return zone != nullptr && zone->cut_since.has_value();
+}
+
+bool ZonePaths::is_cut(std::string_view zone) const {
+  return cut_ > 0 && std::any_of(zones_.begin(), zones_.end(), [&](const Zone& one) {
+           return one.name == zone && one.cut_since;
+         });
+}
+
+bool ZonePaths::admits(TargetId target, std::uint64_t flow_hash, Instant now) const {
+  const Zone* zone = returning_ == 0 ? nullptr : zone_of(target);
+  if (zone == nullptr || !zone->restored_at) {
+    return true;
+  }
+  const auto elapsed = static_cast<std::uint64_t>((now - *zone->restored_at).count());
+  const auto whole = static_cast<std::uint64_t>(kReturnTime.count());
+  return flow_hash % kHashRange * whole < elapsed * kHashRange;
+}
+
+bool ZonePaths::may_look(TargetId target, Instant now) const {
+  const Zone* zone = zone_of(target);
+  return !own_zone_.empty() && zone != nullptr && zone->name != own_zone_ && !zone->look &&
+         !zone->cut_since && now >= zone->look_next_at;
+}
+
+void ZonePaths::doubt(TargetId target, Instant sent_at, const std::vector<TargetId>& answered,
+                      Instant now) {
+  if (may_look(target, now)) {
+    answered_ = answered;
+    begin_look(zones_[by_target_.at(target)], {target}, sent_at, now);
+  }
+}
+
+void ZonePaths::fill_witnesses(const Zone& zone, std::vector<TargetId>& witnesses) const {
+  for (const TargetId target : answered_) {
+    if (witnesses.size() < ZoneLook::kWitnesses && zone_of(target) == &zone) {
+      add_once(witnesses, target);
+    }
+  }
+  // Those of which nothing was heard lately tell less, but an answer of them tells as much.
+  for (std::size_t i = 0; i < zone.targets.size() && witnesses.size() < ZoneLook::kWitnesses; ++i) {
+    add_once(witnesses, zone.targets[i]);
+  }
+}
+
+std::vector<TargetId> ZonePaths::choose_references() const {
+  std::vector<TargetId> references;
+  for (const TargetId target : answered_) {
+    const Zone* zone = zone_of(target);
+    const bool is_near = zone != nullptr && zone->name == own_zone_;
+    if (is_near && references.size() < ZoneLook::kReferences) {
+      references.push_back(target);
+    }
+  }
+  return references;
+}
+
+void ZonePaths::begin_look(Zone& zone, std::vector<TargetId> witnesses, Instant sent_at,
+                           Instant now) {
+  fill_witnesses(zone, witnesses);
+  std::vector<TargetId> references = choose_references();
+  // Without anything near that is known to answer, silence would prove nothing.
+  const bool may_prove = !references.empty() || faults_.ignore_references;
+  if (witnesses.size() >= ZoneLook::kLeastWitnesses && may_prove) {
+    zone.look.emplace(std::move(witnesses), std::move(references), sent_at, now);
+    if (faults_.ignore_references) {
+      zone.look->ignore_references();
+    }
+    ++looks_;
+  }
+}
+
+void ZonePaths::end_look(Zone& zone, bool is_answered, Instant now) {
+  zone.look.reset();
+  --looks_;
+  const Duration first_pause = is_answered ? kLookPause : kUndecidedPause;
+  const bool is_forgotten = now - zone.look_next_at > kLookPauseForgotten;
+  const Duration doubled = std::min(zone.look_pause * 2, kMaxLookPause);
+  zone.look_pause = is_forgotten ? first_pause : std::max(doubled, first_pause);
+  zone.look_next_at = now + zone.look_pause;
+}
+
+bool ZonePaths::counts(const ZoneLook& look, TargetId target) const {
+  return !faults_.trust_one_target || target == look.witnesses().front();
+}
+
+void ZonePaths::on_progress(TargetId target, Instant sent_at, Instant now) {
+  const auto found = looks_ == 0 ? by_target_.end() : by_target_.find(target);
+  if (found == by_target_.end()) {
+    return;
+  }
+  Zone& zone = zones_[found->second];
+  // An answer to what was sent before says nothing of the path since.
+  if (zone.look && sent_at >= zone.look->sent_at() && counts(*zone.look, target)) {
+    end_look(zone, true, now);
+  }
+}
+
+void ZonePaths::send(const SentProbe& probe, std::vector<ProbeRequest>& out) {
+  const std::uint64_t number = ++last_probe_;
+  sent_[number] = probe;
+  out.push_back({number, probe.target});
+}
+
+void ZonePaths::step_look(std::size_t index, Instant now, std::vector<ProbeRequest>& out) {
+  ZoneLook& look = *zones_[index].look;
+  const ZoneLook::Step step = look.step(now);
+  for (const TargetId witness : step.witnesses) {
+    send({index, witness, false, now, look.attempt()}, out);
+  }
+  // Last: of what is sent at once, a short queue drops the end.
+  for (const TargetId reference : step.references) {
+    send({index, reference, true, now, look.attempt()}, out);
+  }
+}
+
+void ZonePaths::look_elsewhere(Instant sent_at, Instant now) {
+  for (auto& other : zones_) {
+    const bool may_begin =
+        !other.look && !other.cut_since && other.name != own_zone_ && now >= other.look_next_at;
+    if (may_begin) {
+      begin_look(other, {}, sent_at, now);
+    }
+  }
+}
+
+void ZonePaths::probe_return(std::size_t index, Instant now, std::vector<ProbeRequest>& out) {
+  Zone& zone = zones_[index];
+  // What was heard is kept until it is concluded from.
+  if (now < zone.probe_next_at || zone.targets.empty() || is_back(zone)) {
+    return;
+  }
+  zone.probe_next_at = now + kReturnInterval;
+  zone.heard_before = std::exchange(zone.heard, {});
+  for (std::size_t i = 0; i < std::min(kReturnProbes, zone.targets.size()); ++i) {
+    zone.next_member = (zone.next_member + 1) % zone.targets.size();
+    send({index, zone.targets[zone.next_member], false, now, std::nullopt}, out);
+    ++zone.return_probes;
+  }
+}
+
+std::vector<ProbeRequest> ZonePaths::take_probes(Instant now) {
+  std::vector<ProbeRequest> probes;
+  absl::erase_if(sent_, [&](const auto& one) { return now - one.second.at > kProbeLifetime; });
+  for (std::size_t i = 0; i < zones_.size(); ++i) {
+    if (zones_[i].cut_since) {
+      probe_return(i, now, probes);
+    } else if (zones_[i].look) {
+      step_look(i, now, probes);
+      if (zones_[i].look->is_last_round()) {
+        // What cuts this zone off may cut this balancer off from others, too.
+        look_elsewhere(zones_[i].look->since(), now);
+      }
+    }
+  }
+  return probes;
+}
+
+void ZonePaths::on_answer(std::uint64_t probe, ProbeAnswer answer, Instant now) {
+  const auto found = sent_.find(probe);
+  if (found == sent_.end()) {
+    return;
+  }
+  const SentProbe sent = found->second;
+  sent_.erase(found);
+  Zone& zone = zones_[sent.zone];
+  const bool is_accepted = answer == ProbeAnswer::kAccepted;
+  if (!sent.attempt && zone.cut_since && is_accepted) {
+    add_once(zone.heard, sent.target);
+  } else if (zone.look && sent.at >= zone.look->since() && sent.attempt == zone.look->attempt()) {
+    on_look_answer(zone, sent, answer, now);
+  }
+}
+
+void ZonePaths::on_look_answer(Zone& zone, const SentProbe& probe, ProbeAnswer answer,
+                               Instant now) {
+  const bool is_accepted = answer == ProbeAnswer::kAccepted;
+  if (probe.is_reference && is_accepted) {
+    zone.look->on_reference_answer(now - probe.at);
+  } else if (!probe.is_reference && !is_accepted) {
+    zone.look->on_refusal();
+  } else if (!probe.is_reference && counts(*zone.look, probe.target)) {
+    end_look(zone, true, now);
+  }
+}
+
+void ZonePaths::on_not_sent(std::uint64_t probe, Instant now) {
+  const auto found = sent_.find(probe);
+  if (found == sent_.end()) {
+    return;
+  }
+  Zone& zone = zones_[found->second.zone];
+  const bool is_of_look = found->second.attempt && zone.look;
+  sent_.erase(found);
+  if (is_of_look) {
+    end_look(zone, false, now);
+  }
+}
+
+void ZonePaths::conclude_look(Zone& zone, bool is_link_congested, Instant now,
+                              std::vector<ZonePathChange>& out) {
+  const ZoneLook& look = *zone.look;
+  if (is_link_congested) {
+    end_look(zone, false, now);
+  } else if (look.is_proven(now)) {
+    out.push_back({zone.name, true, now - look.sent_at(),
+                   static_cast<std::uint32_t>(look.witnesses().size()), look.probes(),
+                   look.refusals(), look.witnesses().front()});
+    begin_cut(zone, now);
+  } else if (look.is_undecided(now)) {
+    end_look(zone, false, now);
+  }
+}
+
+void ZonePaths::begin_cut(Zone& zone, Instant now) {
+  zone.look.reset();
+  --looks_;
+  zone.cut_since = now;
+  ++cut_;
+  zone.probe_next_at = now + kReturnInterval;
+  zone.heard.clear();
+  zone.heard_before.clear();
+  zone.return_probes = 0;
+  returning_ -= zone.restored_at ? 1 : 0;
+  zone.restored_at.reset();
+}
+
+std::vector<TargetId> ZonePaths::answered_again(const Zone& zone) {
+  std::vector<TargetId> answered = zone.heard_before;
+  for (const TargetId target : zone.heard) {
+    add_once(answered, target);
+  }
+  return answered;
+}
+
+bool ZonePaths::is_back(const Zone& zone) {
+  return !zone.heard.empty() && !zone.heard_before.empty() &&
+         answered_again(zone).size() >= std::min(kReturnAnswers, zone.targets.size());
+}
+
+void ZonePaths::conclude_return(Zone& zone, Instant now, std::vector<ZonePathChange>& out) {
+  if (!zone.targets.empty() && !is_back(zone)) {
+    return;
+  }
+  const auto answered = static_cast<std::uint32_t>(answered_again(zone).size());
+  out.push_back({zone.name, false, now - *zone.cut_since, answered, zone.return_probes, 0, 0});
+  zone.cut_since.reset();
+  --cut_;
+  returning_ += zone.restored_at ? 0 : 1;
+  zone.restored_at = now;
+}
+
+std::vector<ZonePathChange> ZonePaths::conclude(bool is_link_congested, Instant now) {
+  std::vector<ZonePathChange> changes;
+  if (looks_ + cut_ + returning_ == 0) {
+    return changes;
+  }
+  for (auto& zone : zones_) {
+    if (zone.cut_since) {
+      conclude_return(zone, now, changes);
+    } else if (zone.look) {
+      conclude_look(zone, is_link_congested, now, changes);
+    }
+    if (zone.restored_at && now - *zone.restored_at >= kReturnTime) {
+      zone.restored_at.reset();
+      --returning_;
+    }
+  }
+  return changes;
+}
+
+}  // namespace gorsevalve
--- a/src/tasks/log_events.h
+++ b/src/tasks/log_events.h
@@ -50,6 +50,8 @@
   kTargetsTroubled,
   kTargetUnreachable,
   kTargetReachable,
+  kZonePathCut,
+  kZonePathRestored,
   kAcceptingPaused,
   kLoopStalled,
   kClusterFounded,
@@ -148,6 +150,14 @@
          "reset."},
         {LogEvent::kTargetReachable, "target_reachable", LogLevel::kInfo, LogClass::kState,
          "A target that was unreachable from here answers again."},
+        {LogEvent::kZonePathCut, "zone_path_cut", LogLevel::kWarning, LogClass::kState,
+         "All probed targets of the zone were silent while the own zone "
+         "answered: idle open flows "
+         "into it were reset, new ones go elsewhere."},
+        {LogEvent::kZonePathRestored, "zone_path_restored", LogLevel::kInfo, LogClass::kState,
+         "Several targets of a zone that was cut off answer again; new flows "
+         "return over two "
+         "seconds."},
         {LogEvent::kAcceptingPaused, "accepting_paused", LogLevel::kWarning, LogClass::kState,
          "A listener holds as many connections as it may, or there is no descriptor left; others "
          "wait until one closes."},
--- a/src/tasks/metrics.cc
+++ b/src/tasks/metrics.cc
@@ -59,6 +59,8 @@
               task.probes_sent()),
       gauge("targets_unreachable", "Targets that cannot be reached from here",
             static_cast<double>(task.steering().unreachable_targets())),
+      gauge("zones_cut_off", "Zones to which the path from here is cut",
+            static_cast<double>(task.steering().zone_paths().cut())),
       gauge("flows", "Flows that passed lately", static_cast<double>(task.steering().flows())),
       gauge("ready", "1 while routers may send packets", task.is_ready() ? 1 : 0),
       gauge("revision", "Revision in force", static_cast<double>(task.fleet().revision)),
--- a/src/tasks/steering_task.cc
+++ b/src/tasks/steering_task.cc
@@ -114,6 +114,7 @@
       steering_.on_probe_not_sent(probe.number, now);
     }
   }
+  judge_zone_paths(now);
   const std::vector<UnreachableTarget> unreachable = steering_.conclude_reachability(now);
   for (const auto& one : unreachable) {
     on_unreachable(one);
@@ -149,6 +150,31 @@
                                            {"flows_reset", resets.size()}});
 }
 
+void SteeringTask::judge_zone_paths(Instant now) {
+  // Nothing is known of the own link yet.
+  const std::vector<ZonePathChange> changes = steering_.conclude_zone_paths(false, now);
+  const std::vector<FlowReset> resets = steering_.end_flows_cut_off(now);
+  for (const auto& reset : resets) {
+    send_reset(reset);
+  }
+  for (const auto& change : changes) {
+    log_event(change.is_cut ? LogEvent::kZonePathCut : LogEvent::kZonePathRestored,
+              {{"to_zone", change.zone},
+               {"took_ms", change.took / milliseconds(1)},
+               {"targets", change.targets},
+               {"probes", change.probes},
+               {"refusals", change.refusals},
+               {"flows_reset", resets.size()}});
+  }
+  if (!resets.empty()) {
+    socket_->flush();
+  }
+  if (!changes.empty()) {
+    // Others with flows there should look for themselves soon.
+    control_.on_tick(0, now);
+  }
+}
+
 void SteeringTask::on_figures(const std::vector<TargetFigure>& figures) {
   const Instant now = monotonic_now();
   steering_.set_figures(figures, now);
--- a/src/tasks/steering_task.h
+++ b/src/tasks/steering_task.h
@@ -95,6 +95,8 @@
   void look_after_targets(Instant now);
   void step_probes();
   void on_unreachable(const UnreachableTarget& unreachable);
+  /// Concludes about paths to zones, and ends the flows into those that are cut off.
+  void judge_zone_paths(Instant now);
   /// Gives held packets again, since more is known now.
   void release_held(Instant now);
   std::optional<Endpoint> on_frame(ByteView frame);
--- /dev/null
+++ b/tests/sim/test_zone_path_workload.cc
@@ -0,0 +1,429 @@
+/// A seeded workload over balancers and targets in three zones whose paths are cut (silently, with
+/// refusals, one way, two at once, while a zone is evacuated), beside what looks like a cut: slow
+/// and busy zones, a dark rack, balancers that stand still or whose own link is full, and loss of
+/// one packet in ten. Checked: no balancer takes a path for cut that is open, no flow of a target
+/// that can be reached is reset for it, a cut is concluded and its end is noticed in bounded time,
+/// new flows stay on this side, and requests that run at most once are not broken off.
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <map>
+#include <random>
+#include <string>
+
+#include "core/steering/flow_steering.h"
+#include "is_caught.h"
+
+namespace gorsevalve {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Instant kStart{seconds(1000)};
+constexpr Duration kStep = milliseconds(5);
+constexpr Endpoint kRepeatable{0xC6120001, 443};
+constexpr Endpoint kOnce{0xC6120001, 8080};
+constexpr std::size_t kZones = 3;
+constexpr TargetId kTargetsOfZone = 6;
+constexpr std::uint32_t kFlowsOfZone = 40;
+/// A cut is concluded within this time: 60 ms until something is sent there, 100 ms until that is
+/// late, 110 ms of probes, and what loss and a look that was answered just before add.
+constexpr Duration kConcluded = milliseconds(1000);
+/// The end of a cut is noticed within this time: two looks, and a tick.
+constexpr Duration kNoticed = milliseconds(1200);
+constexpr Duration kTick = milliseconds(250);
+
+enum class Trouble {
+  kNone,
+  kSilentCut,
+  kRefusingCut,
+  kOneWayCut,
+  kTwoCuts,
+  kEvacuatedAndCut,
+  kSlowZone,
+  kBusyZone,
+  kDarkRack,
+  kFrozenBalancer,
+  kFullLink,
+  kLoss,
+};
+constexpr int kTroubles = 12;
+
+struct CallerFlow {
+  SteeredFlow flow;
+  TargetId target = 0;
+  std::size_t balancer = 0;
+  std::uint32_t sequence = 1;
+  std::uint32_t acknowledged = 1;
+  std::optional<Instant> sent_at;
+  std::optional<Instant> repeat_at;
+  std::optional<Instant> answer_at;
+  Instant next_request;
+};
+
+std::string zone_name(std::size_t zone) { return std::string(1, static_cast<char>('a' + zone)); }
+std::size_t zone_of(TargetId id) { return (id - 1) / kTargetsOfZone; }
+FlowToken token(TargetId id) { return static_cast<FlowToken>(100 + id); }
+
+class ZoneWorkload {
+ public:
+  ZoneWorkload(std::uint64_t seed, const SteeringFaults& faults)
+      : random_(seed), trouble_(static_cast<Trouble>(seed % kTroubles)), zone_(random_() % kZones) {
+    SteeringState state = make_state();
+    if (trouble_ == Trouble::kEvacuatedAndCut) {
+      state.evacuated_zones.push_back({zone_name((zone_ + 1) % kZones), 1});
+    }
+    // A copy of a balancer would look into the state of the first.
+    balancers_.reserve(kZones);
+    for (std::size_t i = 0; i < kZones; ++i) {
+      balancers_.emplace_back(seed + i, zone_name(i));
+      balancers_.back().adopt(state, now_);
+      balancers_.back().confirm(now_);
+      balancers_.back().set_faults(faults);
+    }
+    for (std::uint32_t i = 0; i < kFlowsOfZone * kZones; ++i) {
+      CallerFlow flow;
+      flow.balancer = i % kZones;
+      flow.flow = {{0x64400000 + i, 4000}, i % 2 == 0 ? kRepeatable : kOnce};
+      flow.target = 1 + random_() % (kTargetsOfZone * kZones);
+      flow.next_request = now_ + milliseconds(random_() % 300);
+      flows_.push_back(flow);
+    }
+  }
+
+  /// Gives the first violation, or nothing.
+  std::string run() {
+    while (now_ < kStart + seconds(14) && violation_.empty()) {
+      now_ += kStep;
+      for (auto& flow : flows_) {
+        step_caller(flow);
+      }
+      for (std::size_t i = 0; i < kZones; ++i) {
+        step_balancer(i);
+      }
+      check_times();
+    }
+    return violation_;
+  }
+
+  std::vector<Duration> concluded_after;
+  int flows_ended = 0;
+
+ private:
+  static SteeringState make_state() {
+    SteeringState state;
+    state.settings.version = 1;
+    state.settings.idle_timeout_ms = 60000;
+    state.settings.frontends.push_back({"f", kRepeatable, {{"alpha", 1}}, {}, 3000, 100});
+    state.settings.frontends.push_back({"g", kOnce, {{"alpha", 1}}, {}, 3000, 100});
+    state.settings.frontends[1].request_class = RequestClass::kOnceOnly;
+    for (TargetId id = 1; id <= kTargetsOfZone * kZones; ++id) {
+      RegisteredTarget target;
+      target.id = id;
+      target.token = token(id);
+      target.pool = "alpha";
+      target.address = {10, static_cast<std::uint16_t>(8000 + id)};
+      target.zone = zone_name(zone_of(id));
+      target.slots = 2;
+      state.targets.push_back(target);
+    }
+    return state;
+  }
+
+  [[nodiscard]] bool is_on() const { return now_ >= kBegins && now_ < kEnds; }
+  [[nodiscard]] bool is_troubled(Trouble trouble) const { return is_on() && trouble_ == trouble; }
+  [[nodiscard]] bool is_cutting() const {
+    return trouble_ >= Trouble::kSilentCut && trouble_ <= Trouble::kEvacuatedAndCut;
+  }
+
+  /// True when a packet gets from one zone to the other.
+  [[nodiscard]] bool is_open(std::size_t from, std::size_t to) const {
+    if (!is_on() || !is_cutting() || from == to) {
+      return true;
+    }
+    const std::size_t second = trouble_ == Trouble::kTwoCuts ? (zone_ + 1) % kZones : zone_;
+    if (trouble_ == Trouble::kOneWayCut) {
+      return to != zone_;
+    }
+    return from != zone_ && to != zone_ && from != second && to != second;
+  }
+  [[nodiscard]] bool is_reachable(std::size_t balancer, TargetId id) const {
+    const std::size_t zone = zone_of(id);
+    return is_open(balancer, zone) && is_open(zone, balancer);
+  }
+  [[nodiscard]] bool is_frozen(std::size_t balancer) const {
+    return trouble_ == Trouble::kFrozenBalancer && balancer == zone_ && now_ >= kBegins &&
+           now_ < kBegins + seconds(2);
+  }
+  [[nodiscard]] bool is_dark(TargetId id) const {
+    return is_troubled(Trouble::kDarkRack) && zone_of(id) == zone_ && id % 2 == 0;
+  }
+  [[nodiscard]] bool is_lost(std::size_t balancer) {
+    const bool is_full = is_troubled(Trouble::kFullLink) && balancer == zone_;
+    const std::uint64_t of_100 = is_full ? 80 : (is_troubled(Trouble::kLoss) ? 10 : 0);
+    return random_() % 100 < of_100;
+  }
+
+  void step_caller(CallerFlow& flow) {
+    if (flow.answer_at && now_ >= *flow.answer_at) {
+      flow.answer_at.reset();
+      flow.sent_at.reset();
+      flow.repeat_at.reset();
+      flow.acknowledged += 500;
+      flow.next_request = now_ + milliseconds(50 + random_() % 250);
+      send(flow, 0);
+    } else if (!flow.sent_at && now_ >= flow.next_request) {
+      flow.sent_at = now_;
+      flow.repeat_at = now_ + milliseconds(200);
+      flow.sequence += 100;
+      send(flow, 100);
+    } else if (flow.repeat_at && now_ >= *flow.repeat_at) {
+      flow.repeat_at = now_ + (now_ - *flow.sent_at) * 2;
+      send(flow, 100);
+    } else if (flow.sent_at && now_ - *flow.sent_at > seconds(3)) {
+      open(flow);
+    }
+  }
+
+  void open(CallerFlow& flow) {
+    flow.flow.caller.port = static_cast<std::uint16_t>(flow.flow.caller.port + 1);
+    flow.sent_at.reset();
+    flow.answer_at.reset();
+    flow.repeat_at.reset();
+    flow.next_request = now_ + milliseconds(random_() % 300);
+    if (is_frozen(flow.balancer)) {
+      return;
+    }
+    CallerPacket packet;
+    packet.flow = flow.flow;
+    packet.opens = true;
+    const SteeringDecision decision = balancers_[flow.balancer].on_packet(packet, now_);
+    if (decision.target == nullptr) {
+      violation_ = "a flow was refused, though the own zone has targets";
+      return;
+    }
+    flow.target = decision.target->id;
+    if (balancers_[flow.balancer].zone_paths().is_cut(flow.target)) {
+      violation_ = "a new flow went to target " + std::to_string(flow.target) + " behind a cut";
+    }
+  }
+
+  void send(CallerFlow& flow, std::uint32_t data) {
+    const std::size_t balancer = flow.balancer;
+    if (is_frozen(balancer) || is_lost(balancer)) {
+      return;
+    }
+    CallerPacket packet;
+    packet.flow = flow.flow;
+    packet.token = token(flow.target);
+    packet.sequence = flow.sequence;
+    packet.acknowledged = flow.acknowledged;
+    packet.data_size = data;
+    FlowSteering& steering = balancers_[balancer];
+    const SteeringDecision decision = steering.on_packet(packet, now_);
+    if (decision.action == SteeringAction::kReset) {
+      if (steering.zone_paths().is_cut(flow.target)) {
+        check_reset(flow);
+      }
+      open(flow);
+      return;
+    }
+    // The answer goes to the caller itself, past the balancer.
+    const bool arrives = data > 0 && is_open(balancer, zone_of(flow.target)) &&
+                         !is_dark(flow.target) && !is_lost(balancer);
+    if (arrives && !flow.answer_at) {
+      const bool is_there = zone_of(flow.target) == zone_;
+      const bool is_slow = is_troubled(Trouble::kSlowZone) && is_there;
+      const bool is_busy = is_troubled(Trouble::kBusyZone) && is_there;
+      const std::uint64_t work = 20 + random_() % 60;
+      flow.answer_at = now_ + milliseconds(is_slow ? 900 + work : is_busy ? work * 8 : work);
+    }
+  }
+
+  void step_balancer(std::size_t i) {
+    if (is_frozen(i)) {
+      return;
+    }
+    if (now_ >= next_step_[i]) {
+      const bool is_tick = now_ >= next_tick_[i];
+      next_step_[i] = now_ + TargetReachability::kStepInterval;
+      if (is_tick) {
+        next_tick_[i] = now_ + kTick;
+        balancers_[i].on_tick(now_);
+      }
+      if (is_tick || balancers_[i].is_probing()) {
+        look_after_targets(i);
+      }
+    }
+    deliver_answers(i);
+  }
+
+  void look_after_targets(std::size_t i) {
+    for (const auto& probe : balancers_[i].take_probes(now_)) {
+      const auto id = static_cast<TargetId>(probe.address.port - 8000);
+      const bool is_refused = is_troubled(Trouble::kRefusingCut) && !is_reachable(i, id);
+      const bool is_heard = is_reachable(i, id) && !is_dark(id) && !is_lost(i) && !is_lost(i);
+      if (is_refused || is_heard) {
+        const bool is_busy = is_troubled(Trouble::kBusyZone) && zone_of(id) == zone_;
+        answers_.push_back({i, probe.number,
+                            is_refused ? ProbeAnswer::kRefused : ProbeAnswer::kAccepted,
+                            now_ + milliseconds(is_busy ? 30 : 1 + random_() % 3)});
+      }
+    }
+    // Half of the balancers do not know the rate of their link.
+    const bool is_congested = is_troubled(Trouble::kFullLink) && i == zone_ && knows_link_;
+    for (const auto& change : balancers_[i].conclude_zone_paths(is_congested, now_)) {
+      check_change(i, change);
+    }
+    for (const auto& reset : balancers_[i].end_flows_cut_off(now_)) {
+      tell(reset);
+    }
+    for (const auto& concluded : balancers_[i].conclude_reachability(now_)) {
+      for (const auto& reset : balancers_[i].end_flows_at(concluded.target)) {
+        tell_of_target(reset);
+      }
+    }
+  }
+
+  void deliver_answers(std::size_t i) {
+    std::erase_if(answers_, [&](const Answer& answer) {
+      const bool is_due = answer.balancer == i && answer.at <= now_;
+      if (is_due) {
+        balancers_[i].on_probe_answer(answer.number, answer.what, now_);
+      }
+      return is_due;
+    });
+  }
+
+  void check_change(std::size_t i, const ZonePathChange& change) {
+    const std::size_t zone = static_cast<std::size_t>(change.zone[0] - 'a');
+    const bool is_reached = is_open(i, zone) && is_open(zone, i);
+    if (change.is_cut && is_reached) {
+      violation_ = "balancer " + std::to_string(i) + " takes the open path to zone " + change.zone +
+                   " for cut";
+    }
+    if (change.is_cut && is_on()) {
+      concluded_after.push_back(now_ - kBegins);
+    }
+    if (!change.is_cut && !is_reached) {
+      violation_ = "balancer " + std::to_string(i) + " takes the cut path for open";
+    }
+  }
+
+  void check_reset(const CallerFlow& flow) {
+    const bool just_back = now_ >= kEnds && now_ < kEnds + kNoticed;
+    if (is_reachable(flow.balancer, flow.target) && !just_back) {
+      violation_ = "a flow of target " + std::to_string(flow.target) + " that lives was reset";
+    }
+  }
+
+  void tell(const FlowReset& reset) {
+    for (auto& flow : flows_) {
+      if (flow.flow != reset.flow) {
+        continue;
+      }
+      ++flows_ended;
+      check_reset(flow);
+      // What the balancer saw of it; a request may begin at the same moment.
+      const bool is_under_way = flow.sent_at && *flow.sent_at < now_;
+      if (flow.flow.frontend == kOnce && is_under_way) {
+        violation_ = "a request that runs at most once was broken off";
+      }
+      open(flow);
+    }
+  }
+
+  void tell_of_target(const FlowReset& reset) {
+    for (auto& flow : flows_) {
+      if (flow.flow == reset.flow) {
+        open(flow);
+      }
+    }
+  }
+
+  /// Cuts are concluded and their ends noticed in time, by all.
+  void check_times() {
+    const bool is_late = is_on() && now_ > kBegins + kConcluded;
+    const bool is_over = now_ > kEnds + kNoticed;
+    for (std::size_t i = 0; i < kZones && (is_late || is_over); ++i) {
+      for (std::size_t zone = 0; zone < kZones; ++zone) {
+        const bool is_cut = balancers_[i].zone_paths().is_cut(zone_name(zone));
+        const bool goes_there = is_open(i, zone);
+        if (is_late && !goes_there && !is_cut) {
+          violation_ = "balancer " + std::to_string(i) + " has not noticed the cut to zone " +
+                       zone_name(zone);
+        }
+        if (is_over && is_cut) {
+          violation_ = "balancer " + std::to_string(i) + " has not noticed the end of the cut";
+        }
+      }
+    }
+  }
+
+  struct Answer {
+    std::size_t balancer = 0;
+    std::uint64_t number = 0;
+    ProbeAnswer what = ProbeAnswer::kAccepted;
+    Instant at;
+  };
+
+  static constexpr Instant kBegins = kStart + seconds(4);
+  static constexpr Instant kEnds = kStart + seconds(9);
+
+  std::mt19937_64 random_;
+  Trouble trouble_;
+  bool knows_link_ = random_() % 2 == 0;
+  /// The zone, or the balancer, that is in trouble.
+  std::size_t zone_;
+  Instant now_ = kStart;
+  std::vector<FlowSteering> balancers_;
+  std::array<Instant, kZones> next_step_{};
+  std::array<Instant, kZones> next_tick_{};
+  std::vector<CallerFlow> flows_;
+  std::vector<Answer> answers_;
+  std::string violation_;
+};
+
+/// The workload with one trouble at all seeds.
+template <Trouble trouble>
+class TroubledWorkload : public ZoneWorkload {
+ public:
+  TroubledWorkload(std::uint64_t seed, const SteeringFaults& faults)
+      : ZoneWorkload(seed * kTroubles + static_cast<std::uint64_t>(trouble), faults) {}
+};
+
+}  // namespace
+
+TEST_SUITE("zone_path_workload") {
+  TEST_CASE("paths that are cut are concluded in time, and no other") {
+    std::vector<Duration> times;
+    int flows_ended = 0;
+    for (std::uint64_t seed = 1; seed <= 240; ++seed) {
+      ZoneWorkload workload(seed, {});
+      const std::string violation = workload.run();
+      CHECK_MESSAGE(violation.empty(),
+                    "seed " << seed << ", trouble " << seed % kTroubles << ": " << violation);
+      times.insert(times.end(), workload.concluded_after.begin(), workload.concluded_after.end());
+      flows_ended += workload.flows_ended;
+    }
+    std::sort(times.begin(), times.end());
+    REQUIRE(times.size() > 300);
+    CHECK(times[times.size() / 2] < milliseconds(400));
+    CHECK(flows_ended > 1000);
+    MESSAGE("cuts concluded after " << times[times.size() / 2] / milliseconds(1) << " ms (half), "
+                                    << times.back() / milliseconds(1) << " ms (all), "
+                                    << times.size() << " times; flows ended: " << flows_ended);
+  }
+
+  TEST_CASE("each deliberate fault is caught") {
+    SteeringFaults without_reference;
+    without_reference.zone_paths.ignore_references = true;
+    CHECK(is_caught<TroubledWorkload<Trouble::kFullLink>>(without_reference));
+    SteeringFaults trusting;
+    trusting.zone_paths.trust_one_target = true;
+    CHECK(is_caught<TroubledWorkload<Trouble::kDarkRack>>(trusting));
+  }
+}
+
+}  // namespace gorsevalve
--- /dev/null
+++ b/tests/unit/test_zone_paths.cc
@@ -0,0 +1,322 @@
+#include <doctest/doctest.h>
+
+#include <map>
+#include <set>
+
+#include "core/steering/flow_steering.h"
+#include "core/steering/zone_paths.h"
+
+namespace gorsevalve {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Instant kStart{seconds(1000)};
+constexpr TargetId kTargetsOfZone = 8;
+const std::vector<std::string> kZones = {"near", "far", "farther"};
+
+/// Targets 1 to 8 are near, 9 to 16 far, 17 to 24 farther.
+std::string zone_of(TargetId id) { return kZones[(id - 1) / kTargetsOfZone]; }
+
+RegisteredTarget make_target(TargetId id) {
+  RegisteredTarget target;
+  target.id = id;
+  target.token = static_cast<FlowToken>(100 + id);
+  target.pool = "alpha";
+  target.address = {10, static_cast<std::uint16_t>(8000 + id)};
+  target.zone = zone_of(id);
+  target.slots = 2;
+  return target;
+}
+
+/// What a target does with probes.
+enum class Behaviour { kAccepts, kRefuses, kSilent };
+
+/// Targets in three zones that answer probes after a while, and the steps of a balancer's loop.
+class ProbedZones {
+ public:
+  ProbedZones() {
+    for (TargetId id = 1; id <= kZones.size() * kTargetsOfZone; ++id) {
+      paths.on_target(make_target(id));
+      answered.push_back(id);
+    }
+  }
+
+  void set_zone(const std::string& zone, Behaviour what) {
+    for (const TargetId id : answered) {
+      behaviour[id] = zone_of(id) == zone ? what : behaviour[id];
+    }
+  }
+
+  /// Runs the loop for some time; gives what was concluded.
+  std::vector<ZonePathChange> run(Duration time) {
+    std::vector<ZonePathChange> all;
+    for (const Instant end = now + time; now < end; now += milliseconds(5)) {
+      if (now < stands_still_until) {
+        continue;
+      }
+      // A loop that wakes up may run what is due before it reads what has come.
+      if (now >= next_step_) {
+        next_step_ = now + TargetReachability::kStepInterval;
+        send_probes();
+        const auto changes = paths.conclude(is_link_congested, now);
+        all.insert(all.end(), changes.begin(), changes.end());
+      }
+      deliver_answers();
+    }
+    return all;
+  }
+
+  void doubt(TargetId target) { paths.doubt(target, now, answered, now); }
+
+  ZonePaths paths{"near"};
+  std::map<TargetId, Behaviour> behaviour;
+  std::vector<TargetId> answered;
+  std::map<std::string, int> probes;
+  Duration round_trip = milliseconds(1);
+  Instant stands_still_until;
+  bool is_link_congested = false;
+  bool sends = true;
+  Instant now = kStart;
+
+ private:
+  struct Answer {
+    std::uint64_t number = 0;
+    ProbeAnswer answer = ProbeAnswer::kAccepted;
+    Instant at;
+  };
+
+  void send_probes() {
+    for (const auto& probe : paths.take_probes(now)) {
+      ++probes[zone_of(probe.target)];
+      if (!sends) {
+        paths.on_not_sent(probe.number, now);
+      } else if (behaviour[probe.target] != Behaviour::kSilent) {
+        const bool accepts = behaviour[probe.target] == Behaviour::kAccepts;
+        answers_.push_back({probe.number, accepts ? ProbeAnswer::kAccepted : ProbeAnswer::kRefused,
+                            now + round_trip});
+      }
+    }
+  }
+
+  void deliver_answers() {
+    std::erase_if(answers_, [&](const Answer& answer) {
+      const bool is_due = answer.at <= now;
+      if (is_due) {
+        paths.on_answer(answer.number, answer.answer, now);
+      }
+      return is_due;
+    });
+  }
+
+  Instant next_step_ = kStart;
+  std::vector<Answer> answers_;
+};
+
+}  // namespace
+
+TEST_SUITE("zone_paths") {
+  TEST_CASE("a zone that falls silent is concluded cut within 150 ms of the first doubt") {
+    ProbedZones zones;
+    zones.set_zone("far", Behaviour::kSilent);
+    zones.doubt(9);
+    CHECK(zones.paths.is_looking());
+    const auto changes = zones.run(milliseconds(150));
+    REQUIRE(changes.size() == 1);
+    CHECK(changes[0].zone == "far");
+    CHECK(changes[0].is_cut);
+    CHECK(changes[0].targets == 6);
+    CHECK(changes[0].probes == 15);
+    CHECK(changes[0].suspected == 9);
+    CHECK(zones.paths.is_cut(TargetId{10}));
+    CHECK(zones.paths.is_cut("far"));
+    CHECK_FALSE(zones.paths.is_cut(TargetId{1}));
+    CHECK_FALSE(zones.paths.is_cut(TargetId{17}));
+    CHECK(zones.paths.cut() == 1);
+  }
+
+  TEST_CASE("refusals count like silence, and one that accepts ends the look") {
+    ProbedZones zones;
+    zones.set_zone("far", Behaviour::kRefuses);
+    SUBCASE("all refuse") {
+      zones.doubt(9);
+      const auto changes = zones.run(milliseconds(150));
+      REQUIRE(changes.size() == 1);
+      CHECK(changes[0].refusals == 15);
+    }
+    SUBCASE("one accepts: it was a machine, or a rack") {
+      zones.behaviour[12] = Behaviour::kAccepts;
+      zones.doubt(9);
+      CHECK(zones.run(milliseconds(500)).empty());
+      CHECK_FALSE(zones.paths.is_looking());
+    }
+  }
+
+  TEST_CASE("two zones that are cut at once are both concluded from one doubt") {
+    ProbedZones zones;
+    zones.set_zone("far", Behaviour::kSilent);
+    zones.set_zone("farther", Behaviour::kSilent);
+    zones.doubt(9);
+    const auto changes = zones.run(milliseconds(250));
+    REQUIRE(changes.size() == 2);
+    CHECK(changes[0].zone == "far");
+    CHECK(changes[1].zone == "farther");
+    CHECK(zones.paths.cut() == 2);
+  }
+
+  TEST_CASE("nothing is concluded where silence proves nothing") {
+    ProbedZones zones;
+    zones.set_zone("far", Behaviour::kSilent);
+    SUBCASE("the own zone is silent, too") {
+      zones.set_zone("near", Behaviour::kSilent);
+      zones.set_zone("farther", Behaviour::kSilent);
+    }
+    SUBCASE("one of two near targets does not answer: as much may be lost on the own link") {
+      zones.behaviour[2] = Behaviour::kSilent;
+    }
+    SUBCASE("the own link is full") { zones.is_link_congested = true; }
+    SUBCASE("probes cannot be sent") { zones.sends = false; }
+    SUBCASE("no near target answered lately") {
+      std::erase_if(zones.answered, [](TargetId id) { return id <= kTargetsOfZone; });
+    }
+    zones.doubt(9);
+    CHECK(zones.run(seconds(3)).empty());
+    CHECK_FALSE(zones.paths.is_looking());
+    CHECK(zones.paths.cut() == 0);
+  }
+
+  TEST_CASE("a balancer that stands still between its probes blames no zone") {
+    for (int pause_at = 0; pause_at < 200; pause_at += 5) {
+      for (const int pause : {40, 70, 110, 2000}) {
+        ProbedZones zones;
+        // Longer than the near ones take, as between regions.
+        zones.round_trip = milliseconds(24);
+        zones.doubt(9);
+        auto changes = zones.run(milliseconds(pause_at));
+        zones.stands_still_until = zones.now + milliseconds(pause);
+        const auto later = zones.run(milliseconds(pause + 500));
+        changes.insert(changes.end(), later.begin(), later.end());
+        CHECK_MESSAGE(changes.empty(), "pause of " << pause << " ms after " << pause_at << " ms");
+      }
+    }
+  }
+
+  TEST_CASE("an answer to what was sent since ends a look; one to what was sent before does not") {
+    ProbedZones zones;
+    zones.set_zone("far", Behaviour::kSilent);
+    const Instant sent_at = zones.now;
+    zones.doubt(9);
+    zones.run(milliseconds(40));
+    zones.paths.on_progress(10, sent_at - milliseconds(1), zones.now);
+    CHECK(zones.paths.is_looking());
+    zones.paths.on_progress(10, sent_at + milliseconds(1), zones.now);
+    CHECK_FALSE(zones.paths.is_looking());
+    CHECK(zones.run(milliseconds(150)).empty());
+  }
+
+  TEST_CASE("the own zone and a zone of one target are not judged, nor without an own zone") {
+    ProbedZones zones;
+    CHECK_FALSE(zones.paths.may_look(1, zones.now));
+    RegisteredTarget lonely = make_target(1);
+    lonely.id = 90;
+    lonely.zone = "island";
+    zones.paths.on_target(lonely);
+    zones.doubt(90);
+    CHECK_FALSE(zones.paths.is_looking());
+    ZonePaths nowhere{""};
+    nowhere.on_target(make_target(9));
+    CHECK_FALSE(nowhere.may_look(9, kStart));
+  }
+
+  TEST_CASE("looks that are answered become rarer, and a cut is found again after a quiet while") {
+    ProbedZones zones;
+    for (int i = 0; i < 400; ++i) {
+      zones.doubt(9);
+      zones.run(milliseconds(25));
+    }
+    // 10 s: pauses of 0.25, 0.5, 1, 2 and 4 s, each look three probes.
+    CHECK(zones.probes["far"] <= 7 * 3);
+    zones.run(seconds(13));
+    zones.doubt(9);
+    zones.run(milliseconds(50));
+    zones.run(milliseconds(250));
+    CHECK(zones.paths.may_look(9, zones.now));
+  }
+
+  TEST_CASE("where nothing near answers, looks stay small and become rarer") {
+    ProbedZones zones;
+    for (const std::string& zone : kZones) {
+      zones.set_zone(zone, Behaviour::kSilent);
+    }
+    for (int i = 0; i < 400; ++i) {
+      zones.doubt(9);
+      CHECK(zones.run(milliseconds(25)).empty());
+    }
+    // 10 s: pauses of 0.1 to 3.2 s, each look three probes there and one near.
+    CHECK(zones.probes["far"] <= 8 * 3);
+    CHECK(zones.probes["near"] <= 8);
+    CHECK(zones.probes["farther"] == 0);
+  }
+
+  TEST_CASE("a path is back when several targets answer twice on end, and load returns slowly") {
+    ProbedZones zones;
+    zones.set_zone("far", Behaviour::kSilent);
+    zones.doubt(9);
+    REQUIRE(zones.run(milliseconds(150)).size() == 1);
+    SUBCASE("not by one target, which may be reached another way") {
+      zones.behaviour[11] = Behaviour::kAccepts;
+      CHECK(zones.run(seconds(10)).empty());
+      CHECK(zones.paths.is_cut(TargetId{9}));
+    }
+    SUBCASE("all answer again") {
+      zones.run(seconds(2));
+      zones.set_zone("far", Behaviour::kAccepts);
+      const auto changes = zones.run(milliseconds(600));
+      REQUIRE(changes.size() == 1);
+      CHECK_FALSE(changes[0].is_cut);
+      CHECK(changes[0].targets >= 3);
+      CHECK_FALSE(zones.paths.is_cut(TargetId{9}));
+      const auto admitted = [&] {
+        int count = 0;
+        for (std::uint64_t flow = 0; flow < 1000; ++flow) {
+          count += zones.paths.admits(9, flow * 0x9E3779B97F4A7C15ULL, zones.now) ? 1 : 0;
+        }
+        return count;
+      };
+      const int first = admitted();
+      zones.run(milliseconds(900));
+      const int half = admitted();
+      zones.run(milliseconds(1200));
+      CHECK(first < 350);
+      CHECK(half > first + 200);
+      CHECK(half < 900);
+      CHECK(admitted() == 1000);
+    }
+    SUBCASE("a cut that begins again while load returns") {
+      zones.set_zone("far", Behaviour::kAccepts);
+      REQUIRE(zones.run(milliseconds(600)).size() == 1);
+      zones.set_zone("far", Behaviour::kSilent);
+      zones.doubt(9);
+      REQUIRE(zones.run(milliseconds(150)).size() == 1);
+      CHECK(zones.paths.cut() == 1);
+      CHECK(zones.paths.admits(9, 0, zones.now));
+    }
+  }
+
+  TEST_CASE("zones are bounded in number, and targets that are gone are forgotten") {
+    ZonePaths paths{"near"};
+    for (TargetId id = 1; id <= 3 * ZonePaths::kMaxZones; ++id) {
+      RegisteredTarget target = make_target(1);
+      target.id = id;
+      target.zone = "z" + std::to_string(id);
+      paths.on_target(target);
+    }
+    CHECK(paths.may_look(ZonePaths::kMaxZones, kStart));
+    CHECK_FALSE(paths.may_look(ZonePaths::kMaxZones + 1, kStart));
+    paths.on_forgotten(1);
+    CHECK_FALSE(paths.may_look(1, kStart));
+  }
+}
+
+}  // namespace gorsevalve
