An expectation that was met when it would be late is not looked up again

Cause: each opening and request was looked up when it would be late (100 ms) and when it would have stalled (400 ms). Change: what was met at the first check is passed over at the second; the bound on look-ups a check is gone.

--- a/src/core/steering/flow_steering.cc
+++ b/src/core/steering/flow_steering.cc
@@ -392,7 +392,7 @@
 void FlowSteering::check_openings(Instant now) {
   while (!openings_.empty() && now - openings_.front().at >= kRefusedAfter) {
     const Expectation& opening = openings_.front();
-    const FlowEntry* entry = flows_.find(opening.flow);
+    const FlowEntry* entry = opening.is_met ? nullptr : flows_.find(opening.flow);
     const bool is_refused = entry != nullptr && entry->phase == FlowPhase::kOpening &&
                             entry->target == opening.target && !entry->has_copy;
     if (is_refused) {
@@ -406,7 +406,7 @@
 void FlowSteering::check_requests(Instant now) {
   while (!requests_.empty() && now - requests_.front().at >= kStalledAfter) {
     const Expectation& request = requests_.front();
-    const FlowEntry* entry = flows_.find(request.flow);
+    const FlowEntry* entry = request.is_met ? nullptr : flows_.find(request.flow);
     const bool is_stalled = entry != nullptr && entry->target == request.target &&
                             entry->phase == FlowPhase::kOpen && entry->request_since == request.at;
     if (is_stalled) {
--- a/src/core/steering/flow_steering.h
+++ b/src/core/steering/flow_steering.h
@@ -146,6 +146,8 @@
     SteeredFlow flow;
     TargetId target = 0;
     Instant at;
+    /// It was followed by what should follow, or nothing is to be learned from it any more.
+    bool is_met = false;
   };
 
   [[nodiscard]] SteeringDecision follow_unconfirmed(const CallerPacket& packet, Instant now);
@@ -167,8 +169,6 @@
   /// Doubts the zones of targets that have left something unanswered for longer
   /// than usual.
   void check_late(Instant now);
-  [[nodiscard]] bool is_opening_late(const Expectation& opening);
-  [[nodiscard]] bool is_request_late(const Expectation& request, Instant now);
   /// True when packets of this flow still go to a target beyond a path that is
   /// cut.
   [[nodiscard]] static bool may_wait(const FrontendView& frontend, const FlowEntry& entry,
--- a/src/core/steering/flow_steering_zones.cc
+++ b/src/core/steering/flow_steering_zones.cc
@@ -11,10 +11,8 @@
 /// Where answers usually take longer than this, half of that time, a request counts as late only
 /// when its caller repeats it.
 constexpr double kSoonAnswerUs = 50e3;
-/// Pause between two checks, and how many openings and requests each looks up: all where there are
-/// few, and where there are many, some of them show a cut as soon as all would.
+/// Pause between two checks: short beside the time above.
 constexpr Duration kLateInterval = std::chrono::milliseconds(10);
-constexpr std::size_t kLateLookUps = 2;
 /// Targets that answered lately, of all zones, from which those to probe are chosen.
 constexpr std::size_t kAnsweredKnown = 64;
 
@@ -43,32 +41,26 @@
   const auto is_due = [&](const std::deque<Expectation>& expected, std::size_t seen) {
     return seen < expected.size() && now - expected[seen].at >= kLateAfter;
   };
-  for (std::size_t looked_up = 0; is_due(openings_, late_openings_); ++looked_up) {
-    const Expectation& opening = openings_[late_openings_++];
-    if (looked_up < kLateLookUps && is_opening_late(opening)) {
+  while (is_due(openings_, late_openings_)) {
+    Expectation& opening = openings_[late_openings_++];
+    const FlowEntry* entry = flows_.find(opening.flow);
+    opening.is_met =
+        entry == nullptr || entry->phase != FlowPhase::kOpening || entry->target != opening.target;
+    if (!opening.is_met) {
       doubt_zone(opening.target, opening.at, now);
     }
   }
-  for (std::size_t looked_up = 0; is_due(requests_, late_requests_); ++looked_up) {
-    const Expectation& request = requests_[late_requests_++];
-    if (looked_up < kLateLookUps && is_request_late(request, now)) {
+  while (is_due(requests_, late_requests_)) {
+    Expectation& request = requests_[late_requests_++];
+    const FlowEntry* entry = flows_.find(request.flow);
+    request.is_met =
+        entry == nullptr || entry->target != request.target || entry->request_since != request.at;
+    if (!request.is_met && scores_.recent_answer_us(request.target, now) <= kSoonAnswerUs) {
       doubt_zone(request.target, request.at, now);
     }
   }
 }
 
-bool FlowSteering::is_opening_late(const Expectation& opening) {
-  const FlowEntry* entry = flows_.find(opening.flow);
-  return entry != nullptr && entry->phase == FlowPhase::kOpening && entry->target == opening.target;
-}
-
-bool FlowSteering::is_request_late(const Expectation& request, Instant now) {
-  const FlowEntry* entry = flows_.find(request.flow);
-  return entry != nullptr && entry->target == request.target &&
-         entry->request_since == request.at &&
-         scores_.recent_answer_us(request.target, now) <= kSoonAnswerUs;
-}
-
 void FlowSteering::on_probe_answer(std::uint64_t number, ProbeAnswer answer, Instant now) {
   if (number > ZonePaths::kFirstProbe) {
     zone_paths_.on_answer(number, answer, now);
