--- a/src/core/steering/flow_steering_zones.cc
+++ b/src/core/steering/flow_steering_zones.cc
@@ -38,25 +38,23 @@
 
 void FlowSteering::check_late(Instant now) {
   check_late_at_ = now + kLateInterval;
-  const auto is_due = [&](const std::deque<Expectation>& expected, std::size_t seen) {
-    return seen < expected.size() && now - expected[seen].at >= kLateAfter;
-  };
-  while (is_due(openings_, late_openings_)) {
-    Expectation& opening = openings_[late_openings_++];
-    const FlowEntry* entry = flows_.find(opening.flow);
-    opening.is_met =
-        entry == nullptr || entry->phase != FlowPhase::kOpening || entry->target != opening.target;
-    if (!opening.is_met) {
-      doubt_zone(opening.target, opening.at, now);
+  const auto is_due = [&](const Expectation& one) { return now - one.at >= kLateAfter; };
+  auto opening = openings_.begin() + static_cast<std::ptrdiff_t>(late_openings_);
+  for (; opening != openings_.end() && is_due(*opening); ++opening, ++late_openings_) {
+    const FlowEntry* entry = flows_.find(opening->flow);
+    opening->is_met =
+        entry == nullptr || entry->phase != FlowPhase::kOpening || entry->target != opening->target;
+    if (!opening->is_met) {
+      doubt_zone(opening->target, opening->at, now);
     }
   }
-  while (is_due(requests_, late_requests_)) {
-    Expectation& request = requests_[late_requests_++];
-    const FlowEntry* entry = flows_.find(request.flow);
-    request.is_met =
-        entry == nullptr || entry->target != request.target || entry->request_since != request.at;
-    if (!request.is_met && scores_.recent_answer_us(request.target, now) <= kSoonAnswerUs) {
-      doubt_zone(request.target, request.at, now);
+  auto request = requests_.begin() + static_cast<std::ptrdiff_t>(late_requests_);
+  for (; request != requests_.end() && is_due(*request); ++request, ++late_requests_) {
+    const FlowEntry* entry = flows_.find(request->flow);
+    request->is_met =
+        entry == nullptr || entry->target != request->target || entry->request_since != request->at;
+    if (!request->is_met && scores_.recent_answer_us(request->target, now) <= kSoonAnswerUs) {
+      doubt_zone(request->target, request->at, now);
     }
   }
 }
