--- a/src/core/steering/flow_placement.cc
+++ b/src/core/steering/flow_placement.cc
@@ -42,12 +42,13 @@
 }
 
 Doubt doubt_of(const PlacementInputs& inputs, const RegisteredTarget& target,
-               WarmUpAdmission admission, Instant now) {
-  if (inputs.reachability.is_unreachable(target.id)) {
+               WarmUpAdmission admission, std::uint64_t flow_key, Instant now) {
+  if (inputs.reachability.is_unreachable(target.id) || inputs.zone_paths.is_cut(target.id)) {
     return Doubt::kUnreachable;
   }
-  const bool is_troubled =
-      target.phase != TargetPhase::kReady || inputs.scores.is_suspected(target.id, now);
+  const bool is_troubled = target.phase != TargetPhase::kReady ||
+                           inputs.scores.is_suspected(target.id, now) ||
+                           !inputs.zone_paths.admits(target.id, flow_key, now);
   if (is_troubled) {
     return Doubt::kTroubled;
   }
@@ -173,7 +174,8 @@
       passed_over = true;
       continue;
     }
-    const Rank rank{doubt_of(inputs, target, admission, now), rounded(load_of(target, admission)),
+    const Rank rank{doubt_of(inputs, target, admission, flow_key, now),
+                    rounded(load_of(target, admission)),
                     race_time(rendezvous_score(flow_key, target.token, kTieSalt),
                               weight_of(target, admission))};
     if (best == nullptr || rank < best_rank) {
--- a/src/core/steering/flow_placement.h
+++ b/src/core/steering/flow_placement.h
@@ -13,6 +13,7 @@
 #include "core/steering/target_reachability.h"
 #include "core/steering/target_scores.h"
 #include "core/steering/warm_up_budget.h"
+#include "core/steering/zone_paths.h"
 
 namespace gorsevalve {
 
@@ -23,6 +24,7 @@
   const TargetReachability& reachability;
   /// Counts what it keeps from cold targets.
   WarmUpBudget& warm_up;
+  const ZonePaths& zone_paths;
 };
 
 class FlowPlacement {
--- a/src/tasks/log_events.h
+++ b/src/tasks/log_events.h
@@ -55,6 +55,8 @@
   kLinkBusy,
   kWarmUpBegan,
   kWarmUpEnded,
+  kZonePathCut,
+  kZonePathRestored,
   kAcceptingPaused,
   kLoopStalled,
   kClusterFounded,
@@ -168,6 +170,14 @@
          "together; `balancers` share them by turns, 0 while this one knows no place."},
         {LogEvent::kWarmUpEnded, "warm_up_ended", LogLevel::kInfo, LogClass::kState,
          "Targets are warm; `flows` were placed there from here while they were cold."},
+        {LogEvent::kZonePathCut, "zone_path_cut", LogLevel::kWarning, LogClass::kState,
+         "All probed targets of the zone were silent while the own zone "
+         "answered: idle open flows "
+         "into it were reset, new ones go elsewhere."},
+        {LogEvent::kZonePathRestored, "zone_path_restored", LogLevel::kInfo, LogClass::kState,
+         "Several targets of a zone that was cut off answer again; new flows "
+         "return over two "
+         "seconds."},
         {LogEvent::kAcceptingPaused, "accepting_paused", LogLevel::kWarning, LogClass::kState,
          "A listener holds as many connections as it may, or there is no descriptor left; others "
          "wait until one closes."},
--- a/src/tasks/metrics.cc
+++ b/src/tasks/metrics.cc
@@ -103,6 +103,8 @@
               task.steering().warm_up().counters().refused),
       counter("warm_up_places_doubted", "Places among balancers that could not be true",
               task.steering().warm_up().counters().places_doubted),
+      gauge("zones_cut_off", "Zones to which the path from here is cut",
+            static_cast<double>(task.steering().zone_paths().cut())),
       gauge("flows", "Flows that passed lately", static_cast<double>(task.steering().flows())),
       gauge("ready", "1 while routers may send packets", task.is_ready() ? 1 : 0),
       gauge("revision", "Revision in force", static_cast<double>(task.fleet().revision)),
