--- a/src/tasks/steering_task.cc
+++ b/src/tasks/steering_task.cc
@@ -128,6 +128,7 @@
 }
 
 void SteeringTask::look_after_targets(Instant now) {
+  steering_.set_link_congested(link_.model().is_congested(now), now);
   for (const auto& probe : steering_.take_probes(now)) {
     if (!prober_.send(probe.number, probe.address)) {
       steering_.on_probe_not_sent(probe.number, now);
@@ -171,8 +172,8 @@
 }
 
 void SteeringTask::judge_zone_paths(Instant now) {
-  // Nothing is known of the own link yet.
-  const std::vector<ZonePathChange> changes = steering_.conclude_zone_paths(false, now);
+  const std::vector<ZonePathChange> changes =
+      steering_.conclude_zone_paths(link_.model().is_congested(now), now);
   const std::vector<FlowReset> resets = steering_.end_flows_cut_off(now);
   for (const auto& reset : resets) {
     send_reset(reset);
