Balancers of relayed services tell how many zones they hold to be evacuated

Change: the gauge, from the fleet state in force; the integration test waits for it at each balancer.

--- a/src/programs/balancer_main.cc
+++ b/src/programs/balancer_main.cc
@@ -103,6 +103,11 @@
                          static_cast<double>(snapshot.messages_refused),
                          true,
                          {}});
+      samples.push_back({"gorsevalve_zones_evacuated",
+                         "Zones whose targets get no new work from here",
+                         static_cast<double>(snapshot.zones_evacuated),
+                         false,
+                         {}});
       return {200, "text/plain; version=0.0.4", render_metrics(samples)};
     }
     if (path == "/v1/health" || path == "/v1/status") {
--- a/src/tasks/balancer_task.cc
+++ b/src/tasks/balancer_task.cc
@@ -113,6 +113,7 @@
   snapshot.flows = balancer_->flow_count();
   snapshot.requests = balancer_->request_count();
   snapshot.messages_refused = messages_refused_;
+  snapshot.zones_evacuated = control_.fleet().steering.evacuated_zones.size();
   return snapshot;
 }
 
--- a/src/tasks/balancer_task.h
+++ b/src/tasks/balancer_task.h
@@ -39,6 +39,7 @@
   std::size_t flows = 0;
   std::size_t requests = 0;
   std::uint64_t messages_refused = 0;
+  std::size_t zones_evacuated = 0;
 };
 
 class BalancerTask : private BalancerOutput, private ControlClientOutput {
--- a/tests/integration/test_planned_changes.py
+++ b/tests/integration/test_planned_changes.py
@@ -53,6 +53,9 @@
         self.assertEqual(code, 0, output)
         self.assertEqual(self.status()["evacuated_zones"],
                          [{"zone": "zone-b", "since_revision": since}])
+        for i in self.fleet.balancer_numbers:
+            self.fleet.wait_until(f"balancer {i} knows", lambda i=i: "gorsevalve_zones_evacuated 1" in
+                                  self.fleet.http(self.fleet.balancer_admin(i), "/metrics"))
         code, output = self.fleet.operator("status")
         self.assertIn(f"evacuated: zone-b since revision {since}", output)
         results = [self.fleet.caller_result(process, 60) for process in callers]
