--- a/src/core/steering/zone_paths.cc
+++ b/src/core/steering/zone_paths.cc
@@ -264,11 +264,15 @@
 void ZonePaths::on_look_answer(Zone& zone, const SentProbe& probe, ProbeAnswer answer,
                                Instant now) {
   const bool is_accepted = answer == ProbeAnswer::kAccepted;
-  if (probe.is_reference && is_accepted) {
-    zone.look->on_reference_answer(now - probe.at);
-  } else if (!probe.is_reference && !is_accepted) {
+  if (probe.is_reference) {
+    if (is_accepted) {
+      zone.look->on_reference_answer(now - probe.at);
+    }
+    return;
+  }
+  if (!is_accepted) {
     zone.look->on_refusal();
-  } else if (!probe.is_reference && counts(*zone.look, probe.target)) {
+  } else if (counts(*zone.look, probe.target)) {
     end_look(zone, true, now);
   }
 }
@@ -289,14 +293,12 @@
 void ZonePaths::conclude_look(Zone& zone, bool is_link_congested, Instant now,
                               std::vector<ZonePathChange>& out) {
   const ZoneLook& look = *zone.look;
-  if (is_link_congested) {
-    end_look(zone, false, now);
-  } else if (look.is_proven(now)) {
+  if (!is_link_congested && look.is_proven(now)) {
     out.push_back({zone.name, true, now - look.sent_at(),
                    static_cast<std::uint32_t>(look.witnesses().size()), look.probes(),
                    look.refusals(), look.witnesses().front()});
     begin_cut(zone, now);
-  } else if (look.is_undecided(now)) {
+  } else if (is_link_congested || look.is_undecided(now)) {
     end_look(zone, false, now);
   }
 }
