Fault proxy: a cut is healed by itself, while others last

Cause: heal() ended every cut; a soak that plays several faults at once healed a cut of one stream at the end of another's, so that cuts were shorter than played. Change: cut() and cut_one_way() give what heal() takes; heal() without it ends all, as its other callers (tests/integration, scripts/endurance.py) want. Cuts are counted, so that two over the same pair last until both end. Ruled out: one lock for all cuts (faults would not overlap any more).

--- a/scripts/fault_proxy.py
+++ b/scripts/fault_proxy.py
@@ -6,6 +6,7 @@
 open. TCP frames can be delayed, and connections reset.
 """
 
+import collections
 import heapq
 import itertools
 import random
@@ -39,7 +40,8 @@
     def __init__(self, seed=1):
         self.selector = selectors.DefaultSelector()
         self.random = random.Random(seed)
-        self.cuts = set()
+        # How many cuts drop messages from a sender to a receiver. Replaced as a whole: two threads use it.
+        self.cuts = collections.Counter()
         self.delay = 0.0
         self.delayed = []
         self.delay_order = itertools.count()
@@ -75,13 +77,14 @@
             sock.close()
 
     def cut(self, group, others):
-        """Drops all messages between two groups of public addresses, both ways."""
-        self.cut_one_way(group, others)
-        self.cut_one_way(others, group)
+        """Drops all messages between two groups of public addresses, both ways. Gives what `heal` takes."""
+        return self.cut_one_way(group, others) + self.cut_one_way(others, group)
 
     def cut_one_way(self, senders, receivers):
-        """Drops all messages from one group of public addresses to another."""
-        self.cuts = self.cuts | {(a, b) for a in senders for b in receivers}
+        """Drops all messages from one group of public addresses to another. Gives what `heal` takes."""
+        cut = collections.Counter((a, b) for a in senders for b in receivers)
+        self.cuts = self.cuts + cut
+        return cut
 
     def reset_connections(self, addresses):
         """Resets the TCP connections that processes with these public addresses have or serve."""
@@ -96,15 +99,16 @@
             if self.random.random() < share:
                 pair.silent_ways = {"up", "down"} if way == "both" else {way}
 
-    def heal(self):
-        self.cuts = set()
+    def heal(self, cut=None):
+        """Ends one cut, while others last; without it, all of them."""
+        self.cuts = self.cuts - cut if cut is not None else collections.Counter()
 
     def _watch(self, sock, action):
         self.sockets.append(sock)
         self.selector.register(sock, selectors.EVENT_READ, action)
 
     def _is_cut(self, sender, receiver):
-        return (sender, receiver) in self.cuts
+        return self.cuts[sender, receiver] > 0
 
     def _datagram(self, sock, public, private):
         try:
