--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SEEDS ?= 1000
 RUNS ?= 4
 
-.PHONY: all packages build demo test lint format unit soak fault-soak storm-soak endurance bench clean
+.PHONY: all packages build demo test lint format unit soak fault-soak storm-soak zones-soak endurance bench clean
 
 all: build
 
@@ -44,6 +44,10 @@
 storm-soak: build
 	python3 tests/platform/soak/soak.py --build $(BUILD) --runs $(RUNS) --seconds 60 --storm
 
+# Evacuations beside zones that are cut off and other faults; shows orders that are lost, and flows that end needlessly.
+zones-soak: build
+	python3 tests/platform/soak/soak.py --build $(BUILD) --runs $(RUNS) --seconds 60 --zones
+
 # Real processes for minutes under changes and failures, with a report in run/endurance.
 endurance: build
 	python3 scripts/endurance.py --build $(BUILD)
--- a/tests/platform/soak/caller.py
+++ b/tests/platform/soak/caller.py
@@ -3,16 +3,15 @@
 import asyncio
 import dataclasses
 import itertools
-import json
 
+import messages
 import packets
 from packets import ACK, FIN, RST, SYN, Packet
 from promises import now
+from streams import Receiver, Sender
 
 OPENING_COPIES = (0.0, 0.2, 0.6)
 OPENING_TIME = 1.4
-FIRST_RESEND = 0.2
-LAST_RESEND = 1.6
 MAX_TRIES = 3
 
 
@@ -21,17 +20,25 @@
     """What one kind of caller asks for."""
 
     name: str
+    # Class, priority and times as the operator's file says them.
+    route_class: str
+    priority: int
+    aim: float
+    deadline: float
     once: bool
     keeps_flow: bool
+    # Octets of the request's body, at least and at most, and of the answer's.
+    upload: tuple
     size: int
     work: float
-    deadline: float
     pause: float
 
 
-FEED = Kind("feed", False, True, 2000, 0.02, 2.0, 0.4)
-UPDATE = Kind("update", True, True, 600, 0.03, 2.5, 0.4)
-DOWNLOAD = Kind("download", False, False, 40000, 0.005, 8.0, 0.6)
+FEED = Kind("feed", "idempotent", 1, 0.4, 2.0, False, True, (0, 0), 2000, 0.02, 0.4)
+UPDATE = Kind("update", "non_idempotent", 0, 0.4, 2.5, True, True, (900, 900), 600, 0.03, 0.4)
+DOWNLOAD = Kind("download", "download", 2, 1.2, 8.0, False, False, (0, 0), 40000, 0.005, 0.6)
+UPLOAD = Kind("upload", "upload", 2, 2.0, 10.0, True, False, (5000, 60000), 100, 0.005, 1.0)
+KINDS = (FEED, UPDATE, DOWNLOAD, UPLOAD)
 
 
 class CallerFlow:
@@ -42,20 +49,17 @@
         self.frontend = frontend
         self.source = (caller.ip, caller.next_port())
         self.key = (self.source, frontend)
-        self.sent = caller.world.random.randrange(1 << 30)
-        self.received = 0
-        self.acknowledged = self.sent
+        self.receiver = None
+        self.opening_seq = None
+        self.sender = Sender(caller.world.random.randrange(1 << 30), lambda data, seq: self.write(ACK, data, seq))
         self.echo = 0
         self.opened = asyncio.get_running_loop().create_future()
         self.ended = asyncio.get_running_loop().create_future()
-        self.early = {}
-        self.stream = b""
         self.arrived = asyncio.Event()
-        self.unacknowledged = 0
 
     def write(self, flags, data=b"", seq=None, ack=None):
-        seq = self.sent if seq is None else seq
-        ack = self.received if ack is None else ack
+        seq = self.sender.sent if seq is None else seq
+        ack = self.receiver.received if ack is None else ack
         self.caller.send(Packet(self.source, self.frontend, flags, seq & 0xFFFFFFFF, ack & 0xFFFFFFFF,
                                 self.echo, data))
 
@@ -77,81 +81,60 @@
             self.caller.world.promises.on_refused_route(self.frontend, begun)
         return self.opened.done() and not self.ended.done()
 
-    def on_packet(self, packet):
+    def on_packet(self, packet, sender):
         if packet.has(RST):
-            self.on_reset(packet)
+            self.on_reset(packet, sender)
             return
-        self.echo = packet.echo
         if packet.has(SYN):
-            if not self.opened.done():
-                self.received = packet.seq
-                self.opened.set_result(True)
-            if packet.seq == self.received:
+            self.on_opening_answer(packet)
+        elif self.receiver is not None:
+            self.echo = packet.echo
+            self.sender.on_acknowledged(packet.ack)
+            if packet.data and self.receiver.on_data(packet):
                 self.write(ACK)
-            return
-        self.acknowledged = max(self.acknowledged, packet.ack)
-        if packet.data:
-            self.on_data(packet)
+            self.arrived.set()
+
+    def on_opening_answer(self, packet):
+        """The flow opens at the target that answers first."""
+        if not self.opened.done():
+            self.receiver = Receiver(packet.seq)
+            self.opening_seq = packet.seq
+            self.opened.set_result(True)
+        if packet.seq == self.opening_seq:
+            self.echo = packet.echo
+            self.write(ACK)
 
-    def on_reset(self, packet):
+    def on_reset(self, packet, sender):
         by_system = packet.is_reset_of_the_system()
         if by_system and self.opened.done() and not self.ended.done():
             world = self.caller.world
-            world.promises.on_caller_reset(self.key, self.frontend, world.holder_of(self.key))
+            holder = world.holder_of(self.key)
+            if holder is None or world.paths.is_undisturbed(world.zone_of(sender), holder.zone):
+                world.promises.on_caller_reset(self.key, self.frontend, holder)
         if not self.ended.done():
             self.ended.set_result("system" if by_system else "target")
+        self.sender.stop()
         self.arrived.set()
 
-    def on_data(self, packet):
-        if packet.seq >= self.received:
-            self.early[packet.seq] = packet.data
-        while self.received in self.early:
-            data = self.early.pop(self.received)
-            self.received += len(data)
-            self.stream += data
-            self.unacknowledged += 1
-        is_old = packet.seq < self.received and self.unacknowledged == 0
-        if self.unacknowledged >= 2 or is_old or len(packet.data) < packets.MAX_DATA:
-            self.write(ACK)
-            self.unacknowledged = 0
-        self.arrived.set()
-
-    async def ask(self, request, deadline):
+    async def ask(self, request, body, deadline):
         """The head of the answer and its body; None when it did not come in time."""
-        data = json.dumps(request).encode()
-        seq = self.sent
-        self.sent += len(data)
-        delay = FIRST_RESEND
-        self.write(ACK, data, seq)
-        resend_at = now() + delay
+        self.sender.put(messages.encode(request, body))
         while now() < deadline and not self.ended.done():
-            answer = self.take_answer()
+            answer = messages.take(self.receiver)
             if answer is not None:
                 self.write(ACK)
                 return answer
             self.arrived.clear()
             try:
-                await asyncio.wait_for(self.arrived.wait(), max(0.001, min(resend_at, deadline) - now()))
+                await asyncio.wait_for(self.arrived.wait(), max(0.001, deadline - now()))
             except asyncio.TimeoutError:
-                if now() >= resend_at and self.acknowledged < self.sent:
-                    self.write(ACK, data, seq)
-                delay = min(2 * delay, LAST_RESEND)
-                resend_at = now() + delay
+                break
         return None
 
-    def take_answer(self):
-        if len(self.stream) < packets.MAX_DATA:
-            return None
-        head = json.loads(self.stream[:packets.MAX_DATA])
-        end = packets.MAX_DATA + head["size"]
-        if len(self.stream) < end:
-            return None
-        body, self.stream = self.stream[packets.MAX_DATA:end], self.stream[end:]
-        return head, body
-
     def close(self):
         if self.opened.done() and not self.ended.done():
             self.write(FIN | ACK)
+        self.sender.stop()
         self.caller.flows.pop(self.source[1], None)
 
 
@@ -178,11 +161,15 @@
 
     def send(self, packet):
         node = self.world.router.choose(self.zone, packet.source, packet.destination)
-        if node is not None and not self.world.is_lost():
+        if node is not None and not self.world.is_lost() and self.is_path_open(node):
             self.transport.sendto(packets.encode(packet), (node, self.world.datagram_port))
 
-    def datagram_received(self, octets, _):
-        if self.world.is_lost():
+    def is_path_open(self, ip):
+        return self.world.paths.is_open(self.zone, self.world.zone_of(ip))
+
+    def datagram_received(self, octets, address):
+        sender = address[0]
+        if self.world.is_lost() or not self.is_path_open(sender):
             return
         packet = packets.decode(octets)
         if packet is None:
@@ -193,7 +180,7 @@
             return
         flow = self.flows.get(packet.destination[1])
         if flow is not None and packet.source == flow.frontend:
-            flow.on_packet(packet)
+            flow.on_packet(packet, sender)
 
     async def open(self, frontend):
         flow = CallerFlow(self, frontend)
@@ -235,14 +222,17 @@
 
     async def attempt(self, kind, flow, begun):
         identity = f"{kind.name}-{next(self._requests)}"
+        body = messages.body_of(identity, self.world.random.randint(*kind.upload))
         request = {"id": identity, "once": kind.once, "work": kind.work, "size": kind.size}
-        answer = await flow.ask(request, begun + kind.deadline)
+        answer = await flow.ask(request, body, begun + kind.deadline)
         if answer is None:
             flow.close()
             return False, None
-        head, body = answer
-        if head["id"] != identity or body != b"x" * kind.size:
+        head, answer_body = answer
+        if head["id"] != identity or answer_body != messages.body_of(identity, kind.size):
             self.world.promises.violate("MIXED", f"{identity} got the answer of {head['id']}")
+        if (head["got"], head["digest"]) != (len(body), messages.digest(body)):
+            self.world.promises.violate("MIXED", f"{identity} sent {len(body)} octets, its answer is to {head['got']}")
         if head["closes"]:
             flow.close()
             flow = None
@@ -250,5 +240,7 @@
 
     def note(self, kind, done, begun):
         self.world.promises.counts[f"{kind.name} {'served' if done else 'failed'}"] += 1
-        if not done:
+        if done:
+            self.world.paths.on_served(self.zone)
+        else:
             self.world.failures.append((begun, now(), kind.name))
--- a/tests/platform/soak/faults.py
+++ b/tests/platform/soak/faults.py
@@ -4,7 +4,7 @@
 import asyncio
 import contextlib
 
-from contact import Contact
+from link_faults import LinkFaults
 from machine import STOP_TIME
 from promises import now
 
@@ -12,14 +12,9 @@
 CATCH_UP = 4.0
 
 
-class Faults:
+class Faults(LinkFaults):
     """Actions on one world, each a coroutine without arguments."""
 
-    def __init__(self, world):
-        self.world = world
-        self.random = world.random
-        self.control_lock = asyncio.Lock()
-
     def planned(self):
         return [self.roll_balancers, self.stop_control, self.change_configuration, self.storm,
                 self.storm_from_several, self.race, self.lost_answers, self.invalid_configuration, self.release, self.leave_without_notice,
@@ -29,24 +24,23 @@
         return [self.kill_balancer, self.freeze_balancer, self.kill_control, self.freeze_control,
                 self.kill_all_controls, self.kill_everything, self.wipe_control, self.replace_control,
                 self.cut_control, self.cut_control_one_way, self.cut_balancer, self.cut_balancer_one_way,
-                self.delay_messages, self.reset_connections, self.silence_connections, self.lose_packets, self.fill_disk, self.crash_target,
+                self.cut_zone, self.narrow_link, self.delay_messages, self.reset_connections,
+                self.silence_connections, self.lose_packets, self.fill_disk, self.crash_target,
                 self.reuse_address, self.slow_target]
 
+    def about_zones(self):
+        """What meets evacuations, cut zones and uploads; one stream has only zones that are cut off."""
+        return [[self.cut_zone],
+                [self.narrow_link, self.kill_balancer, self.freeze_balancer, self.kill_control, self.freeze_control,
+                 self.kill_all_controls, self.kill_everything, self.cut_control, self.cut_balancer_one_way,
+                 self.reset_connections, self.crash_target, self.slow_target]]
+
     def beside_storm(self):
         """What comes one after the other beside changes without pause."""
         return [self.kill_control, self.kill_control, self.freeze_control, self.kill_balancer,
                 self.cut_balancer, self.cut_balancer_one_way, self.reset_connections,
                 self.silence_connections, self.cut_control, self.cut_control_one_way]
 
-    @contextlib.contextmanager
-    def disturbed(self, name):
-        """Meanwhile a machine, the core or all machines are out of touch."""
-        self.world.contact.begin(name)
-        try:
-            yield
-        finally:
-            self.world.contact.end(name)
-
     # Machines.
     @contextlib.asynccontextmanager
     async def held(self, machine):
@@ -157,72 +151,6 @@
             await asyncio.sleep(self.random.uniform(1, 5))
             machine.free_disk()
 
-    # Links.
-    async def for_a_while(self):
-        await asyncio.sleep(self.random.uniform(1, 6))
-
-    def split_off_control(self):
-        one = self.random.choice(self.world.controls)
-        return [one.internal_address], [m.internal_address for m in self.world.controls if m is not one]
-
-    async def cut_control(self):
-        with self.disturbed(Contact.CORE):
-            self.world.proxy.cut(*self.split_off_control())
-            await self.for_a_while()
-            self.world.proxy.heal()
-
-    async def cut_control_one_way(self):
-        one, others = self.split_off_control()
-        ways = (one, others) if self.random.random() < 0.5 else (others, one)
-        with self.disturbed(Contact.CORE):
-            self.world.proxy.cut_one_way(*ways)
-            await self.for_a_while()
-            self.world.proxy.heal()
-
-    async def cut_balancer(self):
-        machine = self.random.choice(self.world.balancers)
-        with self.disturbed(machine.name):
-            self.world.proxy.cut([machine.peer_address], self.control_names())
-            await self.for_a_while()
-            self.world.proxy.heal()
-
-    async def cut_balancer_one_way(self):
-        """Either what it says or what it is told gets lost; connections stay open."""
-        machine = self.random.choice(self.world.balancers)
-        ways = [[machine.peer_address], self.control_names()]
-        self.random.shuffle(ways)
-        with self.disturbed(machine.name):
-            self.world.proxy.cut_one_way(*ways)
-            await self.for_a_while()
-            self.world.proxy.heal()
-
-    def control_names(self):
-        return [machine.internal_address for machine in self.world.controls]
-
-    async def silence_connections(self):
-        """Some of the open connections carry nothing any more, both ways or one way, and never end."""
-        self.world.contact.note(Contact.ALL)
-        self.world.proxy.silence_connections(self.random.uniform(0.2, 1.0), self.random.choice(("both", "up", "down")))
-
-    async def delay_messages(self):
-        with self.disturbed(Contact.ALL):
-            self.world.proxy.delay = self.random.uniform(0.02, 0.12)
-            await self.for_a_while()
-            self.world.proxy.delay = 0.0
-
-    async def reset_connections(self):
-        machine = self.random.choice(self.world.controls)
-        for _ in range(3):
-            self.world.contact.note(Contact.ALL)
-            self.world.proxy.reset_connections([machine.internal_address])
-            await asyncio.sleep(0.3)
-
-    async def lose_packets(self):
-        with self.disturbed(Contact.ALL):
-            self.world.loss = self.random.uniform(0.005, 0.04)
-            await self.for_a_while()
-            self.world.loss = 0.0
-
     # Configuration.
     async def change_configuration(self):
         self.world.operator.change()
@@ -261,13 +189,15 @@
         return self.random.choice(ready) if ready else None
 
     def has_peers(self, target):
-        return sum(t.service == target.service and t.state == "ready" for t in self.world.targets) > 2
+        emptied = self.world.evacuations.perhaps
+        return sum(t.service == target.service and t.state == "ready" and t.zone not in emptied
+                   for t in self.world.targets) > 2
 
     async def release(self, says_draining=True):
         """The new one starts first, then the old one leaves."""
         old = self.some_target()
         if old is not None:
-            await self.world.start_target(old.service, old.zone)
+            self.world.start_target(old.service, old.zone)
             await asyncio.sleep(0.5)
             await old.leave(says_draining)
 
@@ -279,21 +209,21 @@
         if old is not None:
             old.end()
             await asyncio.sleep(1)
-            await self.world.start_target(old.service, old.zone)
+            self.world.start_target(old.service, old.zone)
 
     async def reuse_address(self):
         """A target ends, and a target of the other service gets its address."""
         old = self.some_target()
         if old is None:
             return
-        await self.world.start_target(old.service, old.zone)
+        self.world.start_target(old.service, old.zone)
         if self.random.random() < 0.5:
             await old.leave()
         else:
             old.end()
         await asyncio.sleep(REUSE_AFTER)
         other = "archive" if old.service == "main" else "main"
-        await self.world.start_target(other, old.zone, old.address)
+        self.world.start_target(other, old.zone, old.address)
 
     async def slow_target(self):
         target = self.some_target()
--- a/tests/platform/soak/http_call.py
+++ b/tests/platform/soak/http_call.py
@@ -43,12 +43,3 @@
         address, _, rest = answer[1].removeprefix("http://").partition("/")
         path = "/" + rest
     return None
-
-
-async def at_any(addresses, method, path, body, random):
-    """Asks node after node, in random order; True when one acknowledged."""
-    for address in random.sample(addresses, len(addresses)):
-        answer = await following(address, method, path, body)
-        if answer is not None and 200 <= answer[0] < 300:
-            return True
-    return False
--- /dev/null
+++ b/tests/platform/soak/kept_connection.py
@@ -0,0 +1,90 @@
+"""A connection to one control process that is used for call after call, until the process closes it or is gone."""
+
+import asyncio
+
+import http_call
+
+
+class KeptConnection:
+    """Opened by the first call. After a call without a clear answer it is closed, and must not be used."""
+
+    def __init__(self, address):
+        self.address = address
+        self.reader = None
+        self.writer = None
+
+    async def call(self, method, path, body, timeout=http_call.TIMEOUT):
+        """Status and location; None without a clear answer."""
+        try:
+            return await asyncio.wait_for(self._call(method, path, body.encode()), timeout)
+        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, asyncio.LimitOverrunError, ValueError,
+                IndexError):
+            self.close()
+            return None
+
+    async def _call(self, method, path, raw):
+        if self.writer is None:
+            host, port = self.address.rsplit(":", 1)
+            self.reader, self.writer = await asyncio.open_connection(host, int(port))
+        head = (f"{method} {path} HTTP/1.1\r\nHost: {self.address}\r\nContent-Type: application/json\r\n"
+                f"Content-Length: {len(raw)}\r\n\r\n")
+        self.writer.write(head.encode() + raw)
+        await self.writer.drain()
+        lines = (await self.reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+        fields = {name.lower(): value.strip() for name, _, value in (line.partition(":") for line in lines[1:])}
+        await self.reader.readexactly(int(fields.get("content-length", "0")))
+        return int(lines[0].split()[1]), fields.get("location")
+
+    def close(self):
+        if self.writer is not None:
+            self.writer.close()
+
+
+class KeptCaller:
+    """Calls over the connection that answered last, as long as it does; else asks node after node."""
+
+    def __init__(self, addresses, random, is_reachable):
+        self.addresses = addresses
+        self.random = random
+        self.is_reachable = is_reachable
+        self.connection = None
+
+    async def call(self, method, path, body):
+        """True when a node acknowledged."""
+        if self.connection is not None and await self._is_acknowledged(self.connection, method, path, body):
+            return True
+        self.close()
+        addresses = self.addresses()
+        for address in self.random.sample(addresses, len(addresses)):
+            if await self._call_at(address, method, path, body):
+                return True
+        return False
+
+    async def _call_at(self, address, method, path, body):
+        """Asks one node and those that it names."""
+        for _ in range(http_call.MAX_REDIRECTS + 1):
+            self.connection = KeptConnection(address)
+            answer = await self._answer(self.connection, method, path, body)
+            if answer is not None and 200 <= answer[0] < 300:
+                return True
+            self.close()
+            if answer is None or answer[0] != 307 or not answer[1]:
+                return False
+            address, _, rest = answer[1].removeprefix("http://").partition("/")
+            path = "/" + rest
+        return False
+
+    async def _is_acknowledged(self, connection, method, path, body):
+        answer = await self._answer(connection, method, path, body)
+        return answer is not None and 200 <= answer[0] < 300
+
+    async def _answer(self, connection, method, path, body):
+        if not self.is_reachable(connection.address):
+            await asyncio.sleep(http_call.TIMEOUT)
+            return None
+        return await connection.call(method, path, body)
+
+    def close(self):
+        if self.connection is not None:
+            self.connection.close()
+        self.connection = None
--- /dev/null
+++ b/tests/platform/soak/link_faults.py
@@ -0,0 +1,113 @@
+"""What is done to the links of a running deployment, from outside."""
+
+import asyncio
+import contextlib
+
+from contact import Contact
+
+NARROWED = 0.4
+
+
+class LinkFaults:
+    """Actions on one world, each a coroutine without arguments that ends by undoing what it did."""
+
+    def __init__(self, world):
+        self.world = world
+        self.random = world.random
+        # Held while replicas are missing for good or a zone is cut off.
+        self.control_lock = asyncio.Lock()
+
+    @contextlib.contextmanager
+    def disturbed(self, name):
+        """Meanwhile a machine, the core or all machines are out of touch."""
+        self.world.contact.begin(name)
+        try:
+            yield
+        finally:
+            self.world.contact.end(name)
+
+    async def for_a_while(self):
+        await asyncio.sleep(self.random.uniform(1, 6))
+
+    def split_off_control(self):
+        one = self.random.choice(self.world.controls)
+        return [one.internal_address], [m.internal_address for m in self.world.controls if m is not one]
+
+    async def cut_control(self):
+        with self.disturbed(Contact.CORE):
+            cut = self.world.proxy.cut(*self.split_off_control())
+            await self.for_a_while()
+            self.world.proxy.heal(cut)
+
+    async def cut_control_one_way(self):
+        one, others = self.split_off_control()
+        ways = (one, others) if self.random.random() < 0.5 else (others, one)
+        with self.disturbed(Contact.CORE):
+            cut = self.world.proxy.cut_one_way(*ways)
+            await self.for_a_while()
+            self.world.proxy.heal(cut)
+
+    async def cut_balancer(self):
+        machine = self.random.choice(self.world.balancers)
+        with self.disturbed(machine.name):
+            cut = self.world.proxy.cut([machine.peer_address], self.control_names())
+            await self.for_a_while()
+            self.world.proxy.heal(cut)
+
+    async def cut_balancer_one_way(self):
+        """Either what it says or what it is told gets lost; connections stay open."""
+        machine = self.random.choice(self.world.balancers)
+        ways = [[machine.peer_address], self.control_names()]
+        self.random.shuffle(ways)
+        with self.disturbed(machine.name):
+            cut = self.world.proxy.cut_one_way(*ways)
+            await self.for_a_while()
+            self.world.proxy.heal(cut)
+
+    def control_names(self):
+        return [machine.internal_address for machine in self.world.controls]
+
+    async def cut_zone(self):
+        """Machines and targets of a zone reach nothing in the others, while its callers reach its balancers. Not beside
+        a lost disk: no page asks to bear both."""
+        zone = self.random.choice(self.world.zones)
+        async with self.control_lock:
+            with contextlib.ExitStack() as stack:
+                for name in [Contact.CORE] + [m.name for m in self.world.balancers if m.zone == zone]:
+                    stack.enter_context(self.disturbed(name))
+                cut = self.world.begin_cut(zone)
+                await asyncio.sleep(self.random.uniform(2, 8))
+                self.world.end_cut(zone, cut)
+
+    async def narrow_link(self):
+        """One balancer's link takes less than its settings say."""
+        machine = self.random.choice(self.world.balancers)
+        link = self.world.links[machine.ip]
+        with self.disturbed(machine.name):
+            link.mbit_per_s *= NARROWED
+            await self.for_a_while()
+            link.mbit_per_s /= NARROWED
+
+    async def silence_connections(self):
+        """Some of the open connections carry nothing any more, both ways or one way, and never end."""
+        self.world.contact.note(Contact.ALL)
+        self.world.proxy.silence_connections(self.random.uniform(0.2, 1.0), self.random.choice(("both", "up", "down")))
+
+    async def delay_messages(self):
+        with self.disturbed(Contact.ALL):
+            self.world.proxy.delay = self.random.uniform(0.02, 0.12)
+            await self.for_a_while()
+            self.world.proxy.delay = 0.0
+
+    async def reset_connections(self):
+        machine = self.random.choice(self.world.controls)
+        for _ in range(3):
+            self.world.contact.note(Contact.ALL)
+            self.world.proxy.reset_connections([machine.internal_address])
+            await asyncio.sleep(0.3)
+
+    async def lose_packets(self):
+        with self.disturbed(Contact.ALL):
+            self.world.loss = self.random.uniform(0.005, 0.04)
+            await self.for_a_while()
+            self.world.loss = 0.0
--- a/tests/platform/soak/machine.py
+++ b/tests/platform/soak/machine.py
@@ -11,6 +11,7 @@
 from promises import now
 
 ROLES = {"balancer": "gorsevalve-platform-balancer", "control": "gorsevalve-platform-control"}
+CONNECTION_SOURCE = "libsoak-connection-source.so"
 STOP_TIME = 6
 LOADING_TIME = 0.5
 INTERNAL_PORT = 7720
@@ -61,6 +62,11 @@
         """By which a balancer names itself to replicas."""
         return f"{self.ip}:{INTERNAL_PORT + 1}"
 
+    @property
+    def message_address(self):
+        """By which the proxy knows this machine."""
+        return self.internal_address if self.role == "control" else self.peer_address
+
     @property
     def control_address(self):
         return f"{self.ip}:{self.world.control_port}"
@@ -69,6 +75,7 @@
         """The settings file that the platform would write after deploy/node.toml."""
         is_balancer = self.role == "balancer"
         seeds = ", ".join(f'"{m.control_address}"' for m in self.world.seeds())
+        zones = ", ".join(f'"{zone}"' for zone in self.world.zones)
         fields = {
             "name": f'"{self.name}"', "zone": f'"{self.zone}"', "ip": f'"{self.ip}"',
             "listen_ip": f'"{self.listen_ip}"', "first_internal_port": INTERNAL_PORT,
@@ -76,7 +83,8 @@
             "readiness": f'"{self.ip}:{self.world.readiness_port}"' if is_balancer else '""',
             "control": '""' if is_balancer else f'"{self.control_address}"', "seeds": f"[{seeds}]",
             "first_start": str(first_start).lower(), "data_folder": f'"{self.data}"',
-            "announce_interval_ms": 1200, "stop_time_s": STOP_TIME, "forwarding": '"echo"'}
+            "announce_interval_ms": 1200, "stop_time_s": STOP_TIME, "forwarding": '"echo"',
+            "link_mbit_per_s": f'"{self.world.link_rate}"', "zones": f"[{zones}]"}
         return "".join(f"{name} = {value}\n" for name, value in fields.items())
 
     def write_settings(self, first_start=False):
@@ -87,6 +95,10 @@
             raise AssertionError(f"{self.name} runs already")
         self.write_settings(first_start)
         environment = dict(os.environ, GORSEVALVE_NODE_FILE=str(self.folder / "node.toml"))
+        if self.role == "balancer":
+            # Sanitizers would refuse a library before their own.
+            environment.update(LD_PRELOAD=str(self.world.build / CONNECTION_SOURCE), SOAK_CONNECTION_SOURCE=self.ip,
+                               ASAN_OPTIONS="verify_asan_link_order=0")
         with open(self.folder / "log", "ab") as log:
             # Signals that Python ignores stay ignored: a refused write is an error, not an end.
             self.popen = subprocess.Popen([str(self.world.build / ROLES[self.role])], stdout=log, stderr=log,
--- a/tests/platform/soak/operator_calls.py
+++ b/tests/platform/soak/operator_calls.py
@@ -4,9 +4,11 @@
 import json
 
 import http_call
+from caller import FEED
 from promises import APPLY, now
 
 SERVICES = ("main", "archive")
+EXTRA_HOST = "198.18.0.1"
 FIRST_EXTRA_ROUTE = 5000
 
 
@@ -27,18 +29,23 @@
 
     def routes(self):
         """Services that each frontend allows; None stands for no route."""
-        world = self.world
-        routes = {world.feed_frontend: {"main", "archive"}, world.update_frontend: {"main"},
-                  world.download_frontend: {"archive"}}
+        routes = {frontend: services for frontend, (_, services) in self.world.frontends.items()}
         routes.update({frontend: {"archive"} for frontend in self.extra})
         return routes
 
+    def kind_of(self, frontend):
+        """What callers ask for there; routes that are added on the way are like feeds."""
+        kind, _ = self.world.frontends.get(frontend, (FEED, None))
+        return kind
+
     def body(self, version):
         routes = []
         for frontend, services in self.routes().items():
             host, prefix = frontend_text(frontend)
-            route = {"name": f"r-{frontend[1]}", "host": host, "path_prefix": prefix, "type": "idempotent",
-                     "timeout_ms": 2000, "aim_ms": 100, "priority": 1, "attempts": 1}
+            kind = self.kind_of(frontend)
+            route = {"name": f"r-{frontend[1]}", "host": host, "path_prefix": prefix, "type": kind.route_class,
+                     "timeout_ms": int(kind.deadline * 1000), "aim_ms": int(kind.aim * 1000),
+                     "priority": kind.priority, "attempts": 1}
             if len(services) == 1:
                 route["service"] = next(iter(services))
             else:
@@ -55,7 +62,7 @@
         self.version += self.world.random.randint(1, 3)
         self.counter += 1
         self.extra = self.extra[1:] if len(self.extra) > 3 else self.extra
-        added = (self.world.feed_frontend[0], FIRST_EXTRA_ROUTE + self.counter)
+        added = (EXTRA_HOST, FIRST_EXTRA_ROUTE + self.counter)
         self.extra = self.extra + [added]
         self.all_extra.append(added)
 
--- a/tests/platform/soak/soak.py
+++ b/tests/platform/soak/soak.py
@@ -6,6 +6,7 @@
     tests/platform/soak/soak.py --seed 17                       # one seed
     tests/platform/soak/soak.py --planned                       # planned work only: no request may fail
     tests/platform/soak/soak.py --storm                         # changes without pause beside one fault at a time
+    tests/platform/soak/soak.py --zones                         # evacuations beside cut zones and other faults
     tests/platform/soak/soak.py --known                         # the seeds in known_seeds.txt
 
 Takes about 10 processes and 100 MB with two balancers a zone. It ends only processes that it started.
@@ -23,6 +24,8 @@
 sys.path[:0] = [str(HERE), str(ROOT / "scripts")]
 
 from fault_proxy import FaultProxy  # noqa: E402  (the path must be set first)
+from caller import KINDS  # noqa: E402
+from evacuations import EVACUATE  # noqa: E402
 from faults import Faults  # noqa: E402
 from promises import now  # noqa: E402
 from world import World  # noqa: E402
@@ -37,12 +40,16 @@
 # Beside a storm of changes: long enough after each fault for machines to be in touch, and to see what they do then.
 STORM_PAUSE = 7.0
 FIRST_NETWORK = 100
+EVACUATION_PAUSE = 4.0
+LONGEST_EVACUATION = 14.0
+# Share of runs whose last evacuation is in force until the end.
+LAST_ORDER_STAYS = 0.5
 
 
 async def keep_acting(world, faults, actions, until):
     """One action after the other, with pauses."""
     while now() < until:
-        action = world.random.choice(actions)
+        action = world.random.choice([action for action in actions if action.__name__ not in world.left_out])
         print(f"{now() - world.began:7.1f} s  {action.__name__}", flush=True)
         planned = action in faults.planned()
         if not planned:
@@ -67,10 +74,37 @@
         world.promises.calm()
 
 
-async def play_storm(world, seconds):
+async def keep_evacuating(world, until):
+    """The operator empties zone after zone and takes them back. The last order may stay in force until the end."""
+    evacuations = world.evacuations
+    while now() < until and "evacuations" not in world.left_out:
+        await asyncio.sleep(world.random.uniform(0.5, EVACUATION_PAUSE))
+        zone = world.random.choice(world.zones)
+        if not evacuations.can_spare(zone):
+            continue
+        print(f"{now() - world.began:7.1f} s  evacuation of {zone}", flush=True)
+        await evacuations.evacuate(zone)
+        lasts = world.random.uniform(EVACUATE, LONGEST_EVACUATION)
+        await asyncio.sleep(max(0.0, min(lasts, until - now())))
+        if now() >= until and world.random.random() < LAST_ORDER_STAYS:
+            return
+        print(f"{now() - world.began:7.1f} s  {zone} is taken back", flush=True)
+        await evacuations.restore(zone)
+
+
+async def play_storm(world, until):
     faults = Faults(world)
-    until = now() + seconds
-    await asyncio.gather(world.operator.storm_from_several(until), keep_harming(world, faults, until))
+    await asyncio.gather(world.operator.storm_from_several(until), keep_harming(world, faults, until),
+                         keep_evacuating(world, until))
+    await last_look(world, planned_only=False)
+
+
+async def play_zones(world, until):
+    """Changes and evacuations beside cut zones and beside a stream of other faults."""
+    faults = Faults(world)
+    streams = [[faults.change_configuration, faults.release]] + faults.about_zones()
+    await asyncio.gather(keep_evacuating(world, until),
+                         *(keep_acting(world, faults, actions, until) for actions in streams))
     await last_look(world, planned_only=False)
 
 
@@ -82,19 +116,24 @@
     late = [failure for failure in world.failures if planned_only or failure[0] >= begun]
     if late:
         world.promises.violate("RECOVER", f"{len(late)} requests failed while nothing was wrong: {late[:3]}")
-    if world.promises.counts["feed served"] == 0:
-        world.promises.violate("RECOVER", "no feed was served")
+    for kind in KINDS:
+        if world.promises.counts[f"{kind.name} served"] == 0:
+            world.promises.violate("RECOVER", f"no {kind.name} was served")
+    world.evacuations.check_at_end(begun)
     await world.operator.read_at_end(10)
 
 
 async def play(world, arguments):
     world.began = now()
     await world.start()
+    until = now() + arguments.seconds
     if arguments.storm:
-        await play_storm(world, arguments.seconds)
+        await play_storm(world, until)
+        return
+    if arguments.zones:
+        await play_zones(world, until)
         return
     faults = Faults(world)
-    until = now() + arguments.seconds
     if arguments.sabotage:
         until = now()
         await asyncio.sleep(WARM_UP)
@@ -102,7 +141,7 @@
     planned = keep_acting(world, faults, faults.planned(), until)
     streams = 0 if arguments.planned else world.random.choice((1, 2))
     unplanned = [keep_acting(world, faults, faults.unplanned(), until) for _ in range(streams)]
-    await asyncio.gather(planned, *unplanned)
+    await asyncio.gather(planned, keep_evacuating(world, until), *unplanned)
     await last_look(world, arguments.planned)
 
 
@@ -115,6 +154,7 @@
     controls = random.Random(seed).choice((3, 5))
     world = World(seed, folder, pathlib.Path(arguments.build), FIRST_NETWORK + seed % 100, proxy, controls,
                   arguments.balancers_per_zone)
+    world.left_out = set(arguments.leave_out)
     proxy.start()
 
     async def act():
@@ -132,6 +172,10 @@
     counts = ", ".join(f"{name} {count}" for name, count in sorted(world.promises.counts.items()))
     behind = max(watch.longest for watch in world.version_watches)
     counts += f"; longest behind {behind:.2f} s"
+    counts += f"; {world.paths.summary()}"
+    dropped = sum(link.dropped for link in world.links.values())
+    passed = sum(link.passed for link in world.links.values())
+    counts += f"; links of {world.link_rate} Mbit/s dropped {dropped} of {passed + dropped}"
     broken = len(world.promises.violations)
     print(f"seed {seed}, {controls} replicas: {broken} violations; {counts}", flush=True)
     (folder / "violations").write_text("\n".join(world.promises.violations) + "\n")
@@ -141,10 +185,10 @@
 
 
 def known_seeds():
-    """Seeds that failed once, and whether in a storm of changes; the cause stands on the same line."""
+    """Seeds that failed once, and in which kind of run; the cause stands on the same line."""
     lines = (HERE / "known_seeds.txt").read_text().splitlines()
     entries = [line.split() for line in lines if line and not line.startswith("#")]
-    return [(int(entry[0]), entry[1] == "storm:") for entry in entries]
+    return [(int(entry[0]), entry[1].rstrip(":")) for entry in entries]
 
 
 def main():
@@ -158,17 +202,22 @@
     parser.add_argument("--planned", action="store_true")
     parser.add_argument("--known", action="store_true")
     parser.add_argument("--storm", action="store_true")
+    parser.add_argument("--zones", action="store_true")
+    parser.add_argument("--leave-out", action="append", default=[], metavar="ACTION",
+                        help="for tracing: an action that is not played, or `evacuations`")
     parser.add_argument("--sabotage", action="store_true",
                         help="all disks are lost at once, more than is allowed: violations must be found")
     arguments = parser.parse_args()
     seeds = [random.SystemRandom().randrange(1, 1 << 31) for _ in range(arguments.runs)]
     if arguments.seed is not None:
         seeds = [arguments.seed]
-    plays = [(seed, arguments.storm) for seed in seeds]
+    kind = "storm" if arguments.storm else "zones" if arguments.zones else ""
+    plays = [(seed, kind) for seed in seeds]
     if arguments.known:
         plays = known_seeds()
     results = []
-    for seed, arguments.storm in plays:
+    for seed, kind in plays:
+        arguments.storm, arguments.zones = kind == "storm", kind == "zones"
         results.append(run(seed, arguments))
     print(f"{results.count(True)} of {len(results)} runs without a violation")
     return 0 if all(results) else 1
--- /dev/null
+++ b/tests/platform/soak/source_filter.py
@@ -0,0 +1,28 @@
+"""A filter of the kernel on a listening socket: who connects from some addresses meets silence, as over a cut link."""
+
+import ctypes
+import socket
+import struct
+
+SO_ATTACH_FILTER, SO_DETACH_FILTER = 26, 27
+INSTRUCTION = struct.Struct("HBBI")
+PROGRAM = struct.Struct("HL")
+# Classic BPF: load a word, jump if equal, return. The offset is that of the source address in the IPv4 header.
+LOAD, JUMP_IF_EQUAL, RETURN = 0x20, 0x15, 0x06
+SOURCE_ADDRESS = 0xFFF00000 + 12
+TAKE, DROP = 0xFFFFFFFF, 0
+
+
+def leave_silent(listener, ips):
+    """From now on the listener takes nothing from these addresses; from an empty list on, everything."""
+    if not ips:
+        listener.setsockopt(socket.SOL_SOCKET, SO_DETACH_FILTER, 0)
+        return
+    program = [(LOAD, 0, 0, SOURCE_ADDRESS)]
+    for i, ip in enumerate(ips):
+        number, = struct.unpack("!I", socket.inet_aton(ip))
+        program.append((JUMP_IF_EQUAL, len(ips) - i, 0, number))
+    program += [(RETURN, 0, 0, TAKE), (RETURN, 0, 0, DROP)]
+    octets = ctypes.create_string_buffer(b"".join(INSTRUCTION.pack(*one) for one in program))
+    listener.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER,
+                        PROGRAM.pack(len(program), ctypes.addressof(octets)))
--- a/tests/platform/soak/target.py
+++ b/tests/platform/soak/target.py
@@ -5,16 +5,16 @@
 import json
 import random
 
-import http_call
+import messages
 import packets
+from kept_connection import KeptCaller
 from packets import ACK, FIN, RST, SYN, Packet
 from promises import DRAIN, now
+from streams import Receiver, Sender
+from target_sockets import TargetSockets
 
 ANNOUNCE_INTERVAL = 1.2
-FIRST_RESEND = 0.2
-LAST_RESEND = 1.6
 MAX_RESENDS = 8
-WINDOW = 16
 SLOTS = 2
 _numbers = itertools.count(1)
 
@@ -27,60 +27,24 @@
         self.caller = packet.source
         self.frontend = packet.destination
         self.key = (packet.source, packet.destination)
-        self.received = packet.seq
-        self.sent = random.randrange(1 << 31)
-        self.acknowledged = self.sent
         self.is_open = False
         self.echo = packet.echo
-        self.unsent = []
-        self.under_way = []
-        self.resends = 0
-        self.timer = None
+        self.receiver = Receiver(packet.seq)
+        self.sender = Sender(random.randrange(1 << 31), lambda data, seq: self.write(ACK, data, seq), MAX_RESENDS,
+                             self.forget)
 
     def write(self, flags, data=b"", seq=None):
-        seq = self.sent if seq is None else seq
-        packet = Packet(self.frontend, self.caller, flags, seq & 0xFFFFFFFF, self.received & 0xFFFFFFFF,
+        seq = self.sender.sent if seq is None else seq
+        packet = Packet(self.frontend, self.caller, flags, seq & 0xFFFFFFFF, self.receiver.received & 0xFFFFFFFF,
                         self.echo, data)
         self.target.send(packet)
 
-    def answer(self, body):
-        self.unsent += [body[i:i + packets.MAX_DATA] for i in range(0, len(body), packets.MAX_DATA)]
-        self.push()
-
-    def push(self):
-        while self.unsent and len(self.under_way) < WINDOW:
-            data = self.unsent.pop(0)
-            self.write(ACK, data)
-            self.under_way.append((self.sent, data))
-            self.sent += len(data)
-        self.arm(FIRST_RESEND)
-
-    def arm(self, delay):
-        if self.timer is not None:
-            self.timer.cancel()
-        self.timer = None
-        if self.under_way:
-            self.timer = asyncio.get_running_loop().call_later(delay, self.resend, delay)
-
-    def resend(self, delay):
-        self.resends += 1
-        if self.resends > MAX_RESENDS or not self.target.is_running:
-            self.target.flows.pop(self.key, None)
-            return
-        for seq, data in self.under_way[:WINDOW]:
-            self.write(ACK, data, seq)
-        self.arm(min(2 * delay, LAST_RESEND))
-
-    def on_acknowledged(self, ack):
-        if ack <= self.acknowledged:
-            return
-        self.acknowledged = ack
-        self.under_way = [(seq, data) for seq, data in self.under_way if seq + len(data) > ack]
-        self.resends = 0
-        self.push()
+    def forget(self):
+        self.sender.stop()
+        self.target.flows.pop(self.key, None)
 
 
-class Target(asyncio.DatagramProtocol):
+class Target:
     """One life of a target."""
 
     def __init__(self, world, service, address, zone):
@@ -98,12 +62,13 @@
         self.leave_acknowledged = None
         self.slowness = 1.0
         self.slots = asyncio.Semaphore(SLOTS)
-        self.transport = None
+        self.control = KeptCaller(world.control_addresses, world.random,
+                                  lambda control_address: world.is_reachable(zone, control_address))
+        self.sockets = None
         self.announcer = None
 
-    async def start(self):
-        loop = asyncio.get_running_loop()
-        self.transport, _ = await loop.create_datagram_endpoint(lambda: self, local_addr=self.address)
+    def start(self):
+        self.sockets = TargetSockets(self.address, self.on_datagram)
         self.is_running = True
         self.announcer = asyncio.create_task(self.announce_forever())
 
@@ -122,8 +87,7 @@
         return await self.call("PUT", body)
 
     async def call(self, method, body=""):
-        return await http_call.at_any(self.world.control_addresses(), method,
-                                      f"/-/instances/{self.name}", body, self.world.random)
+        return await self.control.call(method, f"/-/instances/{self.name}", body)
 
     async def leave(self, says_draining=True, grace=1.0):
         """A planned end. Gives up asking after some seconds, as the platform does."""
@@ -144,17 +108,40 @@
         if self.is_running:
             self.is_running = False
             self.announcer.cancel()
-            self.transport.close()
+            self.control.close()
+            self.sockets.close()
+            for flow in self.flows.values():
+                flow.sender.stop()
             self.world.on_target_ended(self)
 
     # Packets.
     def send(self, packet):
         if self.is_running:
-            self.transport.sendto(packets.encode(packet), (packet.destination[0], self.world.datagram_port))
-
-    def datagram_received(self, octets, _):
+            self.sockets.send(packets.encode(packet), (packet.destination[0], self.world.datagram_port))
+
+    def on_datagram(self, octets, sender, at):
+        """A datagram from a balancer comes over its narrow link, unless the path is cut off."""
+        zone = self.world.zone_of(sender)
+        if not self.world.paths.is_open(zone, self.zone):
+            packet = packets.decode(octets[packets.TARGET_PREFIX.size:])
+            if packet is not None and packet.has(SYN):
+                self.world.paths.on_lost_opening(zone, self.zone)
+            return
         if self.world.is_lost():
             return
+        link = self.world.links.get(sender)
+        departure = at if link is None else link.departure(len(octets), at)
+        if departure is None:
+            return
+        wait = departure - now()
+        if wait <= 0:
+            self.on_arrival(octets, sender, departure)
+        else:
+            asyncio.get_running_loop().call_later(wait, self.on_arrival, octets, sender, departure)
+
+    def on_arrival(self, octets, sender, at):
+        if not self.is_running:
+            return
         number, = packets.TARGET_PREFIX.unpack_from(octets)
         packet = packets.decode(octets[packets.TARGET_PREFIX.size:])
         if packet is None or not packets.is_as_written(packet):
@@ -162,52 +149,61 @@
             return
         key = (packet.source, packet.destination)
         if number != self.number:
-            self.promises.on_misrouted(key, self.world.holder_of(key))
+            self.on_misrouted(key, sender)
             return
         flow = self.flows.get(key)
         if packet.has(SYN):
-            self.on_opening(flow, packet)
-        elif flow is None or not (flow.is_open or packet.ack == flow.sent):
-            self.on_stray(key, packet)
+            self.on_opening(flow, packet, sender, at)
+        elif flow is None or not (flow.is_open or packet.ack == flow.sender.sent):
+            self.on_stray(key, packet, sender)
         else:
             self.promises.on_own_packet(key)
             self.on_packet(flow, packet)
 
-    def on_opening(self, flow, packet):
+    def on_opening(self, flow, packet, sender, at):
+        self.world.evacuations.on_opening(self, self.world.balancer_at(sender), at)
         if flow is None:
             flow = self.flows[(packet.source, packet.destination)] = TargetFlow(self, packet)
             self.promises.on_opened(self, packet.destination, self.world.opened_at.get(flow.key, now()))
         flow.write(SYN | ACK)
 
-    def on_stray(self, key, packet):
-        self.promises.on_misrouted(key, self.world.holder_of(key))
+    def on_misrouted(self, key, sender):
+        holder = self.world.holder_of(key)
+        if holder is not None and not self.world.paths.is_undisturbed(self.world.zone_of(sender), holder.zone):
+            holder = None
+        self.promises.on_misrouted(key, holder)
+
+    def on_stray(self, key, packet, sender):
+        self.on_misrouted(key, sender)
         if not packet.has(RST):
             self.send(Packet(packet.destination, packet.source, RST, packet.ack, packet.seq, packet.echo))
 
     def on_packet(self, flow, packet):
         flow.echo = packet.echo
         if packet.has(RST):
-            self.flows.pop(flow.key, None)
+            flow.forget()
             return
         flow.is_open = True
-        flow.on_acknowledged(packet.ack)
-        if packet.data and packet.seq == flow.received:
-            flow.received += len(packet.data)
-            asyncio.create_task(self.run(flow, json.loads(packet.data)))
+        flow.sender.on_acknowledged(packet.ack)
+        if packet.data and flow.receiver.on_data(packet):
+            flow.write(ACK)
+        while message := messages.take(flow.receiver):
+            asyncio.create_task(self.run(flow, *message))
         if packet.has(FIN):
             flow.write(FIN | ACK)
-            self.flows.pop(flow.key, None)
-        elif packet.data:
-            flow.write(ACK)
+            flow.forget()
 
-    async def run(self, flow, request):
+    async def run(self, flow, request, body):
         """Works on a request; a target that leaves closes the flow after its next answer."""
+        identity = request["id"]
+        if body != messages.body_of(identity, len(body)):
+            self.promises.violate("UNASKED", f"{identity} came to {self.name} with another body than was sent")
         async with self.slots:
             if not self.is_running:
                 return
-            self.promises.on_run(request["id"], request["once"], self)
+            self.promises.on_run(identity, request["once"], self)
             await asyncio.sleep(request["work"] * self.slowness)
-            if self.is_running:
-                head = json.dumps({"id": request["id"], "size": request["size"],
-                                   "closes": self.state == "draining"}).encode()
-                flow.answer(head.ljust(packets.MAX_DATA) + b"x" * request["size"])
+            if self.is_running and self.flows.get(flow.key) is flow:
+                head = {"id": identity, "got": len(body), "digest": messages.digest(body),
+                        "closes": self.state == "draining"}
+                flow.sender.put(messages.encode(head, messages.body_of(identity, request["size"])))
--- /dev/null
+++ b/tests/platform/soak/target_sockets.py
@@ -0,0 +1,76 @@
+"""The sockets of a target: datagrams from balancers, each with the time of its arrival, and connections that balancers
+open to see whether anything listens there."""
+
+import asyncio
+import socket
+import struct
+import time
+
+import source_filter
+from promises import now
+
+BACKLOG = 128
+MAX_DATAGRAM = 2048
+# The kernel's own time of arrival: this program may read late, and what comes over a narrow link is told by time.
+SO_TIMESTAMPNS = 35
+TIMESTAMP = struct.Struct("qq")
+NANOSECONDS = 1e9
+
+
+class TargetSockets:
+    """Both sockets at one address. `on_datagram` takes the octets, the sender's IP and the time of arrival."""
+
+    def __init__(self, address, on_datagram):
+        self.on_datagram = on_datagram
+        self.silent_ips = []
+        self.loop = asyncio.get_running_loop()
+        self.datagrams = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.datagrams.setsockopt(socket.SOL_SOCKET, SO_TIMESTAMPNS, 1)
+        self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        for one in (self.datagrams, self.listener):
+            one.bind(address)
+            one.setblocking(False)
+        self.listener.listen(BACKLOG)
+        self.loop.add_reader(self.datagrams, self._on_readable)
+        self.loop.add_reader(self.listener, self._on_connection)
+
+    def send(self, octets, address):
+        try:
+            self.datagrams.sendto(octets, address)
+        except BlockingIOError:
+            # As any datagram that meets a full queue; the other end asks again.
+            pass
+
+    def leave_silent(self, ips):
+        """Connections from these addresses get no answer; from an empty list on, all do."""
+        if ips or self.silent_ips:
+            source_filter.leave_silent(self.listener, ips)
+        self.silent_ips = ips
+
+    def close(self):
+        for one in (self.datagrams, self.listener):
+            self.loop.remove_reader(one)
+            one.close()
+
+    def _on_readable(self):
+        try:
+            octets, extra, _, sender = self.datagrams.recvmsg(MAX_DATAGRAM, socket.CMSG_SPACE(TIMESTAMP.size))
+        except BlockingIOError:
+            return
+        self.on_datagram(octets, sender[0], self._arrived_at(extra))
+
+    @staticmethod
+    def _arrived_at(extra):
+        for level, kind, value in extra:
+            if level == socket.SOL_SOCKET and kind == SO_TIMESTAMPNS:
+                seconds, nanoseconds = TIMESTAMP.unpack(value)
+                return now() - max(0.0, time.time() - seconds - nanoseconds / NANOSECONDS)
+        return now()
+
+    def _on_connection(self):
+        try:
+            connection, _ = self.listener.accept()
+        except OSError:
+            return
+        connection.close()
--- a/tests/platform/soak/world.py
+++ b/tests/platform/soak/world.py
@@ -6,20 +6,25 @@
 
 import http_call
 from contact import STALL, Contact
-from caller import DOWNLOAD, FEED, UPDATE, Caller
+from caller import DOWNLOAD, FEED, UPDATE, UPLOAD, Caller
+from evacuations import Evacuations
 from machine import INTERNAL_PORT, Machine
+from narrow_link import NarrowLink
 from operator_calls import Operator
 from promises import Promises, now
 from route_probes import RouteProbes
 from router import Router
 from target import Target
 from version_watch import VersionWatch
+from zone_paths import ZonePaths
 
 ZONES = ("zone-a", "zone-b", "zone-c")
 BALANCERS_PER_ZONE = 2
 TARGETS_PER_ZONE = {"main": 2, "archive": 1}
 CALLERS_PER_ZONE = 2
-FEEDS, UPDATES, DOWNLOADS = 4, 3, 1
+USERS_PER_CALLER = {FEED: 4, UPDATE: 3, DOWNLOAD: 1, UPLOAD: 1}
+# What a balancer's link takes, as its settings say.
+LINK_RATES = ("2.0", "1.0", "0.5")
 TARGET_PORT = 8261
 SEEDS = 3
 
@@ -42,21 +47,30 @@
         self.promises = Promises(self.contact)
         self.router = Router(self)
         self.operator = Operator(self)
+        self.evacuations = Evacuations(self)
+        self.paths = ZonePaths()
         self.loss = 0.0
         self.targets = []
         self.callers = []
         self.opened_at = {}
         self.failures = []
+        # Names of actions that are not played.
+        self.left_out = set()
         self.tasks = []
         self.numbers = itertools.count(1)
-        self.feed_frontend = ("198.18.0.1", 443)
-        self.update_frontend = ("198.18.0.1", 8080)
-        self.download_frontend = ("198.18.0.2", 443)
+        self.frontends = {("198.18.0.1", 443): (FEED, {"main", "archive"}),
+                          ("198.18.0.1", 8080): (UPDATE, {"main"}),
+                          ("198.18.0.2", 443): (DOWNLOAD, {"archive"}),
+                          ("198.18.0.2", 8443): (UPLOAD, {"archive"})}
+        self.zones_by_ip = {}
+        self.link_rate = self.random.choice(LINK_RATES)
         self.all_machines = []
         self.controls = [self.make_control(ZONES[i % len(ZONES)]) for i in range(controls)]
         self.balancers = [Machine(self, "balancer", f"balancer-{zone[-1]}-{i}", zone, self.ip(10, next(self.numbers)))
                           for zone in ZONES for i in range(balancers_per_zone)]
         self.all_machines += self.balancers
+        self.zones_by_ip.update({machine.ip: machine.zone for machine in self.balancers})
+        self.links = {machine.ip: NarrowLink(float(self.link_rate)) for machine in self.balancers}
         # What is asked of each balancer goes more slowly where there are more: this program has one thread.
         self.slowness = balancers_per_zone / BALANCERS_PER_ZONE
         self.version_watches = [VersionWatch(self, machine) for machine in self.balancers]
@@ -69,6 +83,7 @@
         number = next(self.numbers)
         machine = Machine(self, "control", f"control-{number}", zone, self.ip(21, number), self.ip(20, number))
         self.all_machines.append(machine)
+        self.zones_by_ip[machine.ip] = zone
         self.proxy.forward_tcp(machine.internal_address, f"{machine.listen_ip}:{INTERNAL_PORT}")
         return machine
 
@@ -79,6 +94,38 @@
     def machines(self):
         return self.controls + self.balancers
 
+    def zone_of(self, ip):
+        """None for what is in no zone."""
+        return self.zones_by_ip.get(ip)
+
+    def balancer_at(self, ip):
+        return next((machine for machine in self.balancers if machine.ip == ip), None)
+
+    def is_reachable(self, zone, address):
+        """True when something in a zone reaches this address."""
+        return self.paths.is_open(zone, self.zone_of(address.rsplit(":", 1)[0]))
+
+    def balancers_beyond_a_cut(self, zone):
+        return [machine.ip for machine in self.balancers if not self.paths.is_open(zone, machine.zone)]
+
+    def begin_cut(self, zone):
+        """Drops datagrams and messages between a zone and the others. Gives what `end_cut` takes."""
+        sides = ([], [])
+        for machine in self.machines:
+            sides[machine.zone != zone].append(machine.message_address)
+        self.paths.begin_cut(zone)
+        self.apply_cuts_to_targets()
+        return self.proxy.cut(*sides)
+
+    def end_cut(self, zone, cut):
+        print(f"{now() - self.began:7.1f} s  {self.paths.end_cut(zone)}", flush=True)
+        self.apply_cuts_to_targets()
+        self.proxy.heal(cut)
+
+    def apply_cuts_to_targets(self):
+        for target in self.targets:
+            target.sockets.leave_silent(self.balancers_beyond_a_cut(target.zone))
+
     def control_addresses(self):
         return [machine.control_address for machine in self.controls]
 
@@ -105,10 +152,12 @@
         return task
 
     # Targets.
-    async def start_target(self, service, zone, address=None):
+    def start_target(self, service, zone, address=None):
         address = address or (self.ip(40, next(self.numbers)), TARGET_PORT)
+        self.zones_by_ip[address[0]] = zone
         target = Target(self, service, address, zone)
-        await target.start()
+        target.start()
+        target.sockets.leave_silent(self.balancers_beyond_a_cut(zone))
         self.targets.append(target)
         return target
 
@@ -124,7 +173,7 @@
         for zone in ZONES:
             for service, count in TARGETS_PER_ZONE.items():
                 for _ in range(count):
-                    await self.start_target(service, zone)
+                    self.start_target(service, zone)
         await self.wait_ready()
         await self.start_callers()
         await self.start_route_probes()
@@ -138,12 +187,11 @@
         for zone in ZONES:
             for _ in range(CALLERS_PER_ZONE):
                 caller = Caller(self, self.ip(30, next(self.numbers)), zone)
+                self.zones_by_ip[caller.ip] = zone
                 await caller.start()
                 self.callers.append(caller)
-                for kind, count, frontend in ((FEED, FEEDS, self.feed_frontend),
-                                              (UPDATE, UPDATES, self.update_frontend),
-                                              (DOWNLOAD, DOWNLOADS, self.download_frontend)):
-                    for _ in range(count):
+                for frontend, (kind, _) in self.frontends.items():
+                    for _ in range(USERS_PER_CALLER[kind]):
                         self.spawn(caller.use_forever(kind, frontend))
 
     async def start_route_probes(self):
--- /dev/null
+++ b/tests/platform/test_soak_parts.py
@@ -0,0 +1,169 @@
+"""The soak's own parts: that its checks see what breaks a rule, and that its links, streams and cuts do what they say."""
+
+import asyncio
+import pathlib
+import random
+import socket
+import sys
+import types
+import unittest
+from unittest import mock
+
+HERE = pathlib.Path(__file__).resolve().parent
+sys.path.insert(0, str(HERE / "soak"))
+
+import evacuations  # noqa: E402  (the path must be set first)
+import messages  # noqa: E402
+import packets  # noqa: E402
+import source_filter  # noqa: E402
+from contact import Contact  # noqa: E402
+from narrow_link import QUEUE, NarrowLink  # noqa: E402
+from promises import CONTACT, Promises  # noqa: E402
+from streams import FIRST_RESEND, WINDOW, Receiver, Sender  # noqa: E402
+from zone_paths import ZonePaths  # noqa: E402
+
+OCTETS_OF_A_FULL_PACKET = 1240
+
+
+def data_packet(seq, data):
+    return packets.Packet(("127.0.0.1", 1), ("127.0.0.1", 2), packets.ACK, seq, 0, 0, data)
+
+
+class NarrowLinkTest(unittest.TestCase):
+    def test_a_burst_beyond_the_queue_is_dropped(self):
+        link = NarrowLink(2.0)
+        departures = [link.departure(OCTETS_OF_A_FULL_PACKET, 1.0) for _ in range(WINDOW)]
+        self.assertEqual(sum(departure is not None for departure in departures), QUEUE + 1)
+
+    def test_paced_packets_pass_at_the_rate_of_the_link(self):
+        link = NarrowLink(2.0)
+        time_of_one = OCTETS_OF_A_FULL_PACKET / 250_000
+        departures = [link.departure(OCTETS_OF_A_FULL_PACKET, i * time_of_one) for i in range(100)]
+        self.assertNotIn(None, departures)
+        self.assertAlmostEqual(departures[-1], 100 * time_of_one)
+
+
+class StreamsTest(unittest.IsolatedAsyncioTestCase):
+    async def test_sixteen_packets_are_under_way_and_the_missing_ones_come_again(self):
+        written = []
+        sender = Sender(100, lambda data, seq: written.append((seq, data)))
+        message = random.Random(1).randbytes(60_000)
+        sender.put(message)
+        self.assertEqual(len(written), WINDOW)
+        receiver = Receiver(100)
+        # The first one of each burst is lost once.
+        lost, rounds = set(), 0
+        while len(receiver.stream) < len(message):
+            burst, written[:] = list(written), []
+            for number, (seq, data) in enumerate(burst):
+                if number == 0 and seq not in lost:
+                    lost.add(seq)
+                    continue
+                receiver.on_data(data_packet(seq, data))
+            sender.on_acknowledged(receiver.received)
+            self.assertLessEqual(len(sender.under_way), WINDOW)
+            if not written:
+                await asyncio.sleep(FIRST_RESEND * 1.2)
+            rounds += 1
+            self.assertLess(rounds, 50)
+        self.assertEqual(receiver.stream, message)
+        sender.stop()
+
+    async def test_every_second_packet_and_each_last_one_is_acknowledged(self):
+        receiver = Receiver(0)
+        full = b"x" * packets.MAX_DATA
+        due = [receiver.on_data(data_packet(i * len(full), full)) for i in range(4)]
+        self.assertEqual(due, [False, True, False, True])
+        self.assertTrue(receiver.on_data(data_packet(4 * len(full), b"end")))
+        self.assertTrue(receiver.on_data(data_packet(0, full)))
+
+    async def test_a_message_is_taken_only_when_it_is_whole(self):
+        receiver = Receiver(0)
+        encoded = messages.encode({"id": "a"}, messages.body_of("a", 2000))
+        receiver.on_data(data_packet(0, encoded[:1200]))
+        self.assertIsNone(messages.take(receiver))
+        receiver.on_data(data_packet(1200, encoded[1200:]))
+        head, body = messages.take(receiver)
+        self.assertEqual((head["id"], body), ("a", messages.body_of("a", 2000)))
+
+
+class ZonePathsTest(unittest.TestCase):
+    def test_a_cut_zone_reaches_itself_and_what_is_outside(self):
+        paths = ZonePaths()
+        paths.begin_cut("a")
+        self.assertTrue(paths.is_open("a", "a"))
+        self.assertTrue(paths.is_open("a", None))
+        self.assertTrue(paths.is_open("b", "c"))
+        self.assertFalse(paths.is_open("a", "b"))
+        self.assertFalse(paths.is_undisturbed("b", "a"))
+        self.assertTrue(paths.is_undisturbed("b", "c"))
+        paths.end_cut("a")
+        self.assertTrue(paths.is_open("a", "b"))
+        self.assertFalse(paths.is_undisturbed("a", "b"))
+
+    def test_the_filter_leaves_only_those_silent_that_it_names(self):
+        listener = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(listener.close)
+
+        def connects_from(ip):
+            try:
+                socket.create_connection(listener.getsockname(), timeout=0.3, source_address=(ip, 0)).close()
+                return True
+            except socket.timeout:
+                return False
+
+        source_filter.leave_silent(listener, ["127.0.0.2", "127.0.0.3"])
+        self.assertEqual([connects_from(f"127.0.0.{i}") for i in (2, 3, 4)], [False, False, True])
+        source_filter.leave_silent(listener, [])
+        self.assertTrue(connects_from("127.0.0.2"))
+
+
+class EvacuationsTest(unittest.TestCase):
+    """Openings that reach an emptied zone, with a balancer whose state the test says."""
+
+    def setUp(self):
+        self.time = 1000.0
+        for module in ("contact", "evacuations", "promises"):
+            patch = mock.patch(f"{module}.now", lambda: self.time)
+            patch.start()
+            self.addCleanup(patch.stop)
+        self.contact = Contact()
+        self.promises = Promises(self.contact)
+        world = types.SimpleNamespace(promises=self.promises, contact=self.contact, began=0.0, zones=("a", "b"))
+        self.evacuations = evacuations.Evacuations(world)
+        self.evacuations.in_force["a"] = self.time
+        self.target = types.SimpleNamespace(zone="a", name="target")
+        self.balancer = types.SimpleNamespace(name="balancer")
+
+    def broken_by_an_opening(self, after):
+        self.time += after
+        with mock.patch("builtins.print"):
+            self.evacuations.on_opening(self.target, self.balancer, self.time)
+        return len(self.promises.violations)
+
+    def test_an_opening_within_the_bound_is_allowed(self):
+        self.assertEqual(self.broken_by_an_opening(evacuations.EVACUATE), 0)
+
+    def test_an_opening_later_than_the_bound_breaks_the_rule(self):
+        self.assertEqual(self.broken_by_an_opening(evacuations.EVACUATE + 0.1), 1)
+
+    def test_a_zone_that_is_taken_back_is_not_judged(self):
+        self.evacuations.in_force.pop("a")
+        self.assertEqual(self.broken_by_an_opening(evacuations.EVACUATE + 0.1), 0)
+
+    def test_a_balancer_that_was_disturbed_is_judged_once_it_is_in_touch_again(self):
+        self.time += evacuations.EVACUATE
+        self.contact.note("balancer")
+        self.assertEqual(self.broken_by_an_opening(CONTACT / 2), 0)
+        self.assertEqual(self.broken_by_an_opening(CONTACT), 1)
+
+    def test_a_zone_without_flows_at_the_end_is_told_unless_it_is_empty(self):
+        self.evacuations.perhaps.add("a")
+        with mock.patch("builtins.print"):
+            self.evacuations.check_at_end(self.time)
+        self.assertEqual(len(self.promises.violations), 1)
+        self.assertIn("b got no flow", self.promises.violations[0])
+
+
+if __name__ == "__main__":
+    sys.exit(unittest.main())
