Soak: balancers' own figures of emptied zones are judged; what the soak covers is told

An acknowledged evacuation must also be seen in gorsevalve_zones_evacuated of each balancer in touch, and be gone there once taken back: openings alone don't show a balancer that forgot the order while no caller came. Judged only when no order is without an answer.

--- a/tests/platform/soak/evacuations.py
+++ b/tests/platform/soak/evacuations.py
@@ -37,6 +37,8 @@
         self.in_force = {}
         self.perhaps = set()
         self.last_opening = {}
+        self.changed_at = 0.0
+        self.told_figures = set()
 
     # Orders.
     async def evacuate(self, zone):
@@ -44,7 +46,7 @@
         self.perhaps.add(zone)
         if await self._order("POST", zone) != Outcome.ACKNOWLEDGED:
             return False
-        self.in_force[zone] = now()
+        self.in_force[zone] = self.changed_at = now()
         self.world.promises.counts["evacuations"] += 1
         return True
 
@@ -57,6 +59,7 @@
             outcome = await self._order("DELETE", zone)
         if outcome == Outcome.ACKNOWLEDGED:
             self.perhaps.discard(zone)
+            self.changed_at = now()
             self.world.promises.counts["zones taken back"] += 1
         return outcome == Outcome.ACKNOWLEDGED
 
@@ -101,6 +104,21 @@
                                      f"{at - since:.1f} s after its evacuation was acknowledged, "
                                      f"{now() - self.world.began:.1f} s after the start")
 
+    def on_figure(self, machine, emptied_zones, asked_at):
+        """A balancer says how many zones are emptied."""
+        if self.changed_at == 0.0:
+            return
+        is_settled = set(self.in_force) == self.perhaps and asked_at - self.changed_at > EVACUATE
+        if not is_settled or not self.world.contact.is_in_touch(machine.name, asked_at):
+            return
+        self.world.promises.counts["figures of emptied zones"] += 1
+        told = (machine.name, self.changed_at)
+        if emptied_zones != len(self.in_force) and told not in self.told_figures:
+            self.told_figures.add(told)
+            self.world.promises.violate("EVAC", f"{machine.name} says that {emptied_zones} zones are emptied, "
+                                                f"{asked_at - self.changed_at:.1f} s after it became "
+                                                f"{sorted(self.in_force)}")
+
     def check_at_end(self, begun):
         """Zones that were taken back get flows again."""
         for zone in self.world.zones:
--- a/tests/platform/soak/version_watch.py
+++ b/tests/platform/soak/version_watch.py
@@ -1,4 +1,5 @@
-"""Reads each balancer's own figure of the version in force, and how long the newest acknowledged one is missing.
+"""Reads each balancer's own figures of the version in force and of emptied zones, and how long the newest acknowledged
+version is missing.
 
 Stricter than the platform's rule: a balancer that is itself undisturbed must keep up while replicas are killed, frozen or
 cut off, too, since a change is acknowledged only where the core works.
@@ -13,7 +14,14 @@
 INTERVAL = 0.1
 # An answer that takes longer says nothing of what was in force when it was asked for.
 ANSWER_TIMEOUT = 0.5
-VERSION = re.compile(r"^gorsevalve_operator_version(?:\{[^}]*\})? (\S+)", re.MULTILINE)
+VERSION = "operator_version"
+EMPTIED_ZONES = "zones_evacuated"
+
+
+def figure(metrics, name):
+    """The value of a metric in Prometheus text; None when it is not there."""
+    found = re.search(rf"^gorsevalve_{name}(?:\{{[^}}]*\}})? (\S+)", metrics, re.MULTILINE)
+    return int(float(found.group(1))) if found else None
 
 
 class VersionWatch:
@@ -25,11 +33,10 @@
         self.longest = 0.0
         self.told_held = None
 
-    async def held_version(self):
+    async def metrics(self):
         answer = await http_call.once(f"{self.machine.ip}:{self.world.readiness_port}", "GET", "/metrics",
                                       timeout=ANSWER_TIMEOUT)
-        found = VERSION.search(answer[2]) if answer is not None and answer[0] == 200 else None
-        return int(float(found.group(1))) if found else None
+        return answer[2] if answer is not None and answer[0] == 200 else None
 
     def undisturbed_since(self):
         """Since when nothing was done to this balancer or to all machines; None while something is."""
@@ -38,12 +45,15 @@
     async def run_forever(self):
         while True:
             asked_at = now()
-            held = await self.held_version()
-            if held is not None and self.world.router.is_in(self.machine):
-                self.judge(held, asked_at)
+            metrics = await self.metrics()
+            if metrics is not None and self.world.router.is_in(self.machine):
+                self.judge(figure(metrics, VERSION), asked_at)
+                self.world.evacuations.on_figure(self.machine, figure(metrics, EMPTIED_ZONES), asked_at)
             await asyncio.sleep(INTERVAL * self.world.slowness)
 
     def judge(self, held, asked_at):
+        if held is None:
+            return
         missing = [at for at, version in self.world.promises.acknowledged if version > held]
         undisturbed = self.undisturbed_since()
         if not missing or undisturbed is None:
--- a/tests/platform/test_soak_parts.py
+++ b/tests/platform/test_soak_parts.py
@@ -131,7 +131,8 @@
         self.promises = Promises(self.contact)
         world = types.SimpleNamespace(promises=self.promises, contact=self.contact, began=0.0, zones=("a", "b"))
         self.evacuations = evacuations.Evacuations(world)
-        self.evacuations.in_force["a"] = self.time
+        self.evacuations.in_force["a"] = self.evacuations.changed_at = self.time
+        self.evacuations.perhaps.add("a")
         self.target = types.SimpleNamespace(zone="a", name="target")
         self.balancer = types.SimpleNamespace(name="balancer")
 
@@ -157,8 +158,29 @@
         self.assertEqual(self.broken_by_an_opening(CONTACT / 2), 0)
         self.assertEqual(self.broken_by_an_opening(CONTACT), 1)
 
+    def figures_broken(self, emptied_zones, after=evacuations.EVACUATE + 0.1):
+        self.time += after
+        with mock.patch("builtins.print"):
+            self.evacuations.on_figure(self.balancer, emptied_zones, self.time)
+        return len(self.promises.violations)
+
+    def test_a_balancer_must_know_what_was_acknowledged(self):
+        self.assertEqual(self.figures_broken(0, evacuations.EVACUATE), 0)
+        self.assertEqual(self.figures_broken(1), 0)
+        self.assertEqual(self.figures_broken(0), 1)
+
+    def test_a_balancer_must_know_what_was_taken_back(self):
+        self.evacuations.in_force.clear()
+        self.evacuations.perhaps.clear()
+        self.assertEqual(self.figures_broken(0), 0)
+        self.assertEqual(self.figures_broken(1), 1)
+
+    def test_an_order_without_an_answer_is_not_judged(self):
+        self.evacuations.in_force.clear()
+        self.assertEqual(self.figures_broken(0), 0)
+        self.assertEqual(self.figures_broken(1), 0)
+
     def test_a_zone_without_flows_at_the_end_is_told_unless_it_is_empty(self):
-        self.evacuations.perhaps.add("a")
         with mock.patch("builtins.print"):
             self.evacuations.check_at_end(self.time)
         self.assertEqual(len(self.promises.violations), 1)
