--- a/tests/platform/soak/caller.py
+++ b/tests/platform/soak/caller.py
@@ -205,19 +205,21 @@
     async def request(self, kind, frontend, flow):
         """One request with its further tries; gives the flow back when it can be used again."""
         begun = now()
+        flows = []
         for _ in range(MAX_TRIES):
             if flow is None or flow.ended.done():
                 if flow is not None:
                     flow.close()
                 flow = await self.open(frontend)
             if flow is not None:
+                flows.append(flow.key)
                 done, flow = await self.attempt(kind, flow, begun)
                 if done or kind.once:
-                    self.note(kind, done, begun)
+                    self.note(kind, done, begun, flows)
                     return flow
             if now() - begun > kind.deadline:
                 break
-        self.note(kind, False, begun)
+        self.note(kind, False, begun, flows)
         return flow
 
     async def attempt(self, kind, flow, begun):
@@ -238,9 +240,12 @@
             flow = None
         return True, flow
 
-    def note(self, kind, done, begun):
+    def note(self, kind, done, begun, flows):
+        """What became of a request on these flows; of those that failed it is told when the narrow links dropped packets."""
         self.world.promises.counts[f"{kind.name} {'served' if done else 'failed'}"] += 1
         if done:
             self.world.paths.on_served(self.zone)
-        else:
-            self.world.failures.append((begun, now(), kind.name))
+            return
+        drops = {flow[0]: [f"{at - begun:.2f}" for at in self.world.link_drops.get(flow, ()) if at >= begun]
+                 for flow in flows}
+        self.world.failures.append((begun, f"{now() - begun:.2f} s", kind.name, "dropped by links after (s)", drops))
--- a/tests/platform/soak/connection_source.cc
+++ b/tests/platform/soak/connection_source.cc
@@ -11,24 +11,25 @@
 
 namespace {
 
-void bind_to_machine(int descriptor, const char* ip) {
+bool bind_to_machine(int descriptor, const char* ip) {
   sockaddr_in own{};
   own.sin_family = AF_INET;
   inet_pton(AF_INET, ip, &own.sin_addr);
   // The port is chosen when the connection is opened, so that many share one.
   const int wanted = 1;
-  setsockopt(descriptor, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &wanted, sizeof(wanted));
-  bind(descriptor, reinterpret_cast<const sockaddr*>(&own), sizeof(own));
+  return setsockopt(descriptor, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &wanted, sizeof(wanted)) ==
+             0 &&
+         bind(descriptor, reinterpret_cast<const sockaddr*>(&own), sizeof(own)) == 0;
 }
 
 }  // namespace
 
 extern "C" int connect(int descriptor, const sockaddr* peer, socklen_t length) {
   using Connect = int (*)(int, const sockaddr*, socklen_t);
-  static const auto next = reinterpret_cast<Connect>(dlsym(RTLD_NEXT, "connect"));
+  static const auto kNext = reinterpret_cast<Connect>(dlsym(RTLD_NEXT, "connect"));
   const char* ip = std::getenv("SOAK_CONNECTION_SOURCE");
-  if (ip != nullptr && peer->sa_family == AF_INET) {
-    bind_to_machine(descriptor, ip);
+  if (ip != nullptr && peer->sa_family == AF_INET && !bind_to_machine(descriptor, ip)) {
+    return -1;
   }
-  return next(descriptor, peer, length);
+  return kNext(descriptor, peer, length);
 }
--- a/tests/platform/soak/target.py
+++ b/tests/platform/soak/target.py
@@ -132,6 +132,7 @@
         link = self.world.links.get(sender)
         departure = at if link is None else link.departure(len(octets), at)
         if departure is None:
+            self.world.note_link_drop(octets[packets.TARGET_PREFIX.size:])
             return
         wait = departure - now()
         if wait <= 0:
--- a/tests/platform/soak/world.py
+++ b/tests/platform/soak/world.py
@@ -1,10 +1,12 @@
 """Everything that takes part in one run: machines of the system, targets, callers, routers, the operator."""
 
 import asyncio
+import collections
 import itertools
 import random
 
 import http_call
+import packets
 from contact import STALL, Contact
 from caller import DOWNLOAD, FEED, UPDATE, UPLOAD, Caller
 from evacuations import Evacuations
@@ -54,6 +56,8 @@
         self.callers = []
         self.opened_at = {}
         self.failures = []
+        # When a narrow link dropped packets, by flow.
+        self.link_drops = collections.defaultdict(list)
         # Names of actions that are not played.
         self.left_out = set()
         self.tasks = []
@@ -132,6 +136,11 @@
     def is_lost(self):
         return self.loss > 0 and self.random.random() < self.loss
 
+    def note_link_drop(self, octets):
+        packet = packets.decode(octets)
+        if packet is not None:
+            self.link_drops[packet.source, packet.destination].append(now())
+
     def holder_of(self, key):
         """The living target where a flow is open."""
         return next((t for t in self.targets if t.is_running and key in t.flows and t.flows[key].is_open), None)
