--- a/tests/platform/soak/kept_connection.py
+++ b/tests/platform/soak/kept_connection.py
@@ -6,7 +6,7 @@
 
 
 class KeptConnection:
-    """Opened by the first call. After a call without a clear answer it is closed, and must not be used."""
+    """Opened by the next call whenever it is closed, as it is after a call without a clear answer."""
 
     def __init__(self, address):
         self.address = address
@@ -15,12 +15,17 @@
 
     async def call(self, method, path, body, timeout=http_call.TIMEOUT):
         """Status and location; None without a clear answer."""
+        answer = None
         try:
-            return await asyncio.wait_for(self._call(method, path, body.encode()), timeout)
+            answer = await asyncio.wait_for(self._call(method, path, body.encode()), timeout)
         except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, asyncio.LimitOverrunError, ValueError,
                 IndexError):
-            self.close()
-            return None
+            pass
+        finally:
+            # Also when the call was cancelled: the rest of its answer must not meet the next call.
+            if answer is None:
+                self.close()
+        return answer
 
     async def _call(self, method, path, raw):
         if self.writer is None:
@@ -38,6 +43,7 @@
     def close(self):
         if self.writer is not None:
             self.writer.close()
+        self.writer = None
 
 
 class KeptCaller:
@@ -48,9 +54,15 @@
         self.random = random
         self.is_reachable = is_reachable
         self.connection = None
+        # One call at a time.
+        self.lock = asyncio.Lock()
 
     async def call(self, method, path, body):
         """True when a node acknowledged."""
+        async with self.lock:
+            return await self._call(method, path, body)
+
+    async def _call(self, method, path, body):
         if self.connection is not None and await self._is_acknowledged(self.connection, method, path, body):
             return True
         self.close()
--- a/tests/platform/soak/target.py
+++ b/tests/platform/soak/target.py
@@ -74,7 +74,8 @@
 
     # Life.
     async def announce_forever(self):
-        while True:
+        # Not only until it is cancelled: a cancellation that meets the end of an awaited call is lost.
+        while self.state == "ready":
             await self.announce()
             await asyncio.sleep(ANNOUNCE_INTERVAL)
 
