--- a/tests/platform/soak/soak.py
+++ b/tests/platform/soak/soak.py
@@ -179,7 +179,7 @@
     broken = len(world.promises.violations)
     print(f"seed {seed}, {controls} replicas: {broken} violations; {counts}", flush=True)
     (folder / "violations").write_text("\n".join(world.promises.violations) + "\n")
-    if broken == 0:
+    if broken == 0 and not arguments.keep_logs:
         shutil.rmtree(folder)
     return broken == 0
 
@@ -205,6 +205,7 @@
     parser.add_argument("--zones", action="store_true")
     parser.add_argument("--leave-out", action="append", default=[], metavar="ACTION",
                         help="for tracing: an action that is not played, or `evacuations`")
+    parser.add_argument("--keep-logs", action="store_true", help="also of runs without a violation")
     parser.add_argument("--sabotage", action="store_true",
                         help="all disks are lost at once, more than is allowed: violations must be found")
     arguments = parser.parse_args()
--- a/tests/platform/soak/zone_paths.py
+++ b/tests/platform/soak/zone_paths.py
@@ -14,7 +14,10 @@
     last_served: float
     # The longest time in which no caller of the zone got an answer.
     longest_wait: float = 0.0
-    # Until when, from the beginning on, balancers placed flows across.
+    # Flows that balancers placed across, by those within the zone and by those outside, and until when from the
+    # beginning on.
+    placed_from_within: int = 0
+    placed_from_outside: int = 0
     placed_across: float = 0.0
 
     def on_served(self):
@@ -22,9 +25,18 @@
         self.longest_wait = max(self.longest_wait, now() - self.last_served)
         self.last_served = now()
 
+    def on_lost_opening(self, is_from_within):
+        """A balancer placed a flow across."""
+        self.placed_across = now() - self.begun
+        if is_from_within:
+            self.placed_from_within += 1
+        else:
+            self.placed_from_outside += 1
+
     def __str__(self):
-        return (f"{self.zone} was cut off for {now() - self.begun:.2f} s: flows placed across for "
-                f"{self.placed_across:.2f} s, its callers without an answer for {self.longest_wait:.2f} s at most")
+        return (f"{self.zone} was cut off for {now() - self.begun:.2f} s: {self.placed_from_within} openings went out "
+                f"of it and {self.placed_from_outside} into it, the last after {self.placed_across:.2f} s; its callers "
+                f"were without an answer for {self.longest_wait:.2f} s at most")
 
 
 class ZonePaths:
@@ -57,11 +69,11 @@
         healed_at = max(self.healed_at.get(one, 0.0), self.healed_at.get(other, 0.0))
         return self.is_open(one, other) and now() - healed_at >= CONTACT
 
-    def on_lost_opening(self, one, other):
-        """A balancer placed a flow across a cut."""
-        for zone in (one, other):
+    def on_lost_opening(self, sender_zone, target_zone):
+        """An opening packet of a balancer met a cut."""
+        for zone in (sender_zone, target_zone):
             if zone in self.cuts:
-                self.cuts[zone].placed_across = now() - self.cuts[zone].begun
+                self.cuts[zone].on_lost_opening(zone == sender_zone)
 
     def on_served(self, zone):
         if zone in self.cuts:
--- a/tests/platform/test_soak_parts.py
+++ b/tests/platform/test_soak_parts.py
@@ -101,6 +101,15 @@
         self.assertTrue(paths.is_open("a", "b"))
         self.assertFalse(paths.is_undisturbed("a", "b"))
 
+    def test_a_cut_tells_which_way_flows_were_placed_across(self):
+        paths = ZonePaths()
+        paths.begin_cut("a")
+        paths.on_lost_opening("a", "b")
+        paths.on_lost_opening("b", "a")
+        paths.on_lost_opening("c", "a")
+        cut = paths.end_cut("a")
+        self.assertEqual((cut.placed_from_within, cut.placed_from_outside), (1, 2))
+
     def test_the_filter_leaves_only_those_silent_that_it_names(self):
         listener = socket.create_server(("127.0.0.1", 0))
         self.addCleanup(listener.close)
