--- a/src/tasks/steering_task.cc
+++ b/src/tasks/steering_task.cc
@@ -22,12 +22,6 @@
 /// Age of the state that is worth a line: three pauses between heartbeats.
 constexpr Duration kUnconfirmedLogged = milliseconds(1500);
 
-/// A wait that is worth a line: a quarter of the time after which senders repeat.
-constexpr Duration kWaitLogged = milliseconds(50);
-constexpr Duration kLinkLogInterval = std::chrono::seconds(1);
-/// Timers of the event loop count in milliseconds.
-constexpr Duration kLeastPause = milliseconds(1);
-
 }  // namespace
 
 tl::expected<std::unique_ptr<SteeringTask>, std::string> SteeringTask::open(
@@ -207,76 +201,6 @@
   look_after_targets(now);
 }
 
-void SteeringTask::refuse_for_want_of_room(const CallerPacket& packet) {
-  log_event(LogEvent::kFlowDecision,
-            {{"flow", to_string(packet.flow.caller) + ">" + to_string(packet.flow.frontend)},
-             {"reason", "link_full"},
-             {"copies_before", packet.copies_before},
-             {"committed_ms", link_.admission().committed() / milliseconds(1)},
-             {"bulk_flows", link_.admission().flows()}});
-  send_reset(reset_of(packet));
-}
-
-void SteeringTask::forward(const CallerPacket& packet, ByteView datagram,
-                           const RegisteredTarget& target, Instant now) {
-  const std::size_t size = format_.forwarded_size(datagram.size());
-  std::span<std::uint8_t> out;
-  if (link_.scheduler().may_send_at_once(now)) {
-    link_.scheduler().on_sent_at_once(size, now);
-    out = socket_->reserve(target.address, size);
-  } else {
-    const PacketPatience patience =
-        NarrowLink::patience(steering_.frontend(packet.flow.frontend), packet.opens);
-    out = link_.scheduler().enqueue(packet, target.address, size, patience, now);
-    send_due_later(now);
-  }
-  if (!out.empty()) {
-    format_.write_forwarded(datagram, target, out);
-  }
-}
-
-void SteeringTask::send_due(Instant now) {
-  while (const auto due = link_.scheduler().take_due(now)) {
-    socket_->send(due->to, due->bytes);
-    if (due->waited > kWaitLogged) {
-      log_busy_link(due->waited, now);
-    }
-  }
-  socket_->flush();
-  send_due_later(now);
-}
-
-void SteeringTask::log_busy_link(Duration waited, Instant now) {
-  if (now - link_logged_at_ < kLinkLogInterval) {
-    return;
-  }
-  link_logged_at_ = now;
-  const LinkScheduler& scheduler = link_.scheduler();
-  const LinkCounters& counters = scheduler.counters();
-  constexpr double kPercent = 100;
-  log_event(LogEvent::kLinkBusy,
-            {{"waiting", scheduler.waiting()},
-             {"octets", scheduler.waiting_octets()},
-             {"waited_ms", waited / milliseconds(1)},
-             {"receive_percent", std::lround(link_.model().receive_use(now) * kPercent)},
-             {"send_percent", std::lround(link_.model().send_use(now) * kPercent)},
-             {"copies_spared", counters.copies_spared},
-             {"dropped_when_full", counters.dropped_when_full},
-             {"dropped_as_given_up", counters.dropped_as_given_up}});
-}
-
-void SteeringTask::send_due_later(Instant now) {
-  const auto turn = link_.scheduler().next_turn();
-  if (!turn || sends_later_) {
-    return;
-  }
-  sends_later_ = true;
-  loop_.after(std::max(*turn - now, kLeastPause), [this] {
-    sends_later_ = false;
-    send_due(monotonic_now());
-  });
-}
-
 void SteeringTask::release_held(Instant now) {
   if (held_.size() == 0) {
     return;
