Followers pass what targets say on to the leader

Cause: each announcement that was news, and each end, was answered by a redirect to the leader, where the target then stayed: at 10,000 targets and 25 replicas the busiest had 5,585 to 5,957 files open (baseline), about 440 being its share, and when it died all of them asked elsewhere at once. Its bound is 9,011 callers (0.55 of 16,384), so about 1,600 machines would have filled it. Change: a follower that is current and reaches the leader sends what its targets said in one turn of its loop as one message; the leader proposes what came within a tick as one entry; the follower answers once its own committed state holds it. When the leader changes, what waits is decided anew; what isn't committed in 0.9 s is answered 503, as a pending entry is.

--- a/src/tasks/control_task.cc
+++ b/src/tasks/control_task.cc
@@ -133,6 +133,7 @@
   }
   answer_waiting(now);
   proposals_.answer(*node_, now);
+  answer_forwarded(now);
   return opened->sender;
 }
 
@@ -149,6 +150,7 @@
   node_->on_tick(now);
   answer_waiting(now);
   proposals_.answer(*node_, now);
+  answer_forwarded(now);
   decide_held_calls(now);
   if (node_->replica().has_failed()) {
     log_event(LogEvent::kStorageFailedStopping);
@@ -285,7 +287,9 @@
     held_calls_.push_back([this, announced, callback] { announce(announced, callback); });
     return;
   }
-  if (status == AnnouncementStatus::kHeld) {
+  if (status == AnnouncementStatus::kForward && !forwarded_.is_full()) {
+    forward(announced, callback, [this, announced, callback] { announce(announced, callback); });
+  } else if (status == AnnouncementStatus::kHeld) {
     callback({SteeringStatus::kAcknowledged, std::nullopt});
   } else if (status != AnnouncementStatus::kNews) {
     callback(not_leader());
@@ -306,7 +310,10 @@
         [this, id, started_at_ms, callback] { end_target(id, started_at_ms, callback); });
     return;
   }
-  if (status == AnnouncementStatus::kHeld) {
+  if (status == AnnouncementStatus::kForward && !forwarded_.is_full()) {
+    forward(life, callback,
+            [this, id, started_at_ms, callback] { end_target(id, started_at_ms, callback); });
+  } else if (status == AnnouncementStatus::kHeld) {
     callback({SteeringStatus::kAcknowledged, std::nullopt});
   } else if (status != AnnouncementStatus::kNews) {
     callback(not_leader());
@@ -334,6 +341,34 @@
   }
 }
 
+void ControlTask::forward(ForwardedCalls::Said said, SteeringCallback callback,
+                          std::function<void()> decide_again) {
+  forwarded_.add(std::move(said), std::move(callback), std::move(decide_again),
+                 monotonic_now() + config_.steering_timeout);
+  // What comes in one turn of the loop goes in one message.
+  if (!std::exchange(is_forwarding_, true)) {
+    loop_.post([this] { send_forwarded(); });
+  }
+}
+
+void ControlTask::send_forwarded() {
+  is_forwarding_ = false;
+  const ForwardedRegistrations said = forwarded_.take_unsent();
+  for (const auto& target : said.announced) {
+    log_announced(target);
+  }
+  for (const TargetLife& life : said.ended) {
+    log_ended(life);
+  }
+  node_->forward(said);
+}
+
+void ControlTask::answer_forwarded(Instant now) {
+  forwarded_.answer(*node_, now);
+  const Replica& replica = node_->replica();
+  forwarded_.follow_leader(replica.is_leader() ? config_.address : node_->other_leader(now));
+}
+
 void ControlTask::queue_registration(SteeringCallback callback) {
   registration_callbacks_.push_back(std::move(callback));
   if (registration_callbacks_.size() == 1) {
@@ -344,20 +379,28 @@
 void ControlTask::propose_registrations() {
   const RegistrationCommand command = std::exchange(registrations_, {});
   for (const auto& target : command.announced) {
-    log_event(LogEvent::kTargetAnnounced, {{"target", target.id},
-                                           {"pool", target.pool},
-                                           {"phase", static_cast<int>(target.phase)},
-                                           {"started_at_ms", target.started_at_ms},
-                                           {"sequence", target.sequence}});
-    log_restart(target);
+    log_announced(target);
   }
   for (const TargetLife& life : command.ended) {
-    log_event(LogEvent::kTargetEnded, {{"target", life.id}, {"started_at_ms", life.started_at_ms}});
+    log_ended(life);
   }
   wait_for(node_->propose(command, monotonic_now()), std::exchange(registration_callbacks_, {}),
            std::monostate{});
 }
 
+void ControlTask::log_announced(const RegisteredTarget& target) const {
+  log_event(LogEvent::kTargetAnnounced, {{"target", target.id},
+                                         {"pool", target.pool},
+                                         {"phase", static_cast<int>(target.phase)},
+                                         {"started_at_ms", target.started_at_ms},
+                                         {"sequence", target.sequence}});
+  log_restart(target);
+}
+
+void ControlTask::log_ended(const TargetLife& life) {
+  log_event(LogEvent::kTargetEnded, {{"target", life.id}, {"started_at_ms", life.started_at_ms}});
+}
+
 void ControlTask::log_restart(const RegisteredTarget& announced) const {
   const RegisteredTarget* known = find_target(node_->state().fleet().steering, announced.id);
   if (known == nullptr || known->started_at_ms == announced.started_at_ms) {
--- a/src/tasks/control_task.h
+++ b/src/tasks/control_task.h
@@ -14,6 +14,7 @@
 #include "core/control/control_node.h"
 #include "storage/log_store.h"
 #include "tasks/event_loop.h"
+#include "tasks/forwarded_calls.h"
 #include "tasks/frame_network.h"
 #include "tasks/waiting_proposals.h"
 
@@ -99,12 +100,19 @@
   void wait_for(const std::optional<Proposal>& proposal, std::vector<SteeringCallback> callbacks,
                 WaitingProposals::Subject subject);
   void queue_registration(SteeringCallback callback);
+  /// Passes a call on to the leader; `decide_again` makes it anew.
+  void forward(ForwardedCalls::Said said, SteeringCallback callback,
+               std::function<void()> decide_again);
+  void send_forwarded();
+  void answer_forwarded(Instant now);
   /// True shortly after the start while no replica leads: then no other one can answer either.
   [[nodiscard]] bool awaits_first_leader(Instant now) const;
   [[nodiscard]] bool may_hold_call(Instant now) const;
   /// Decides about the calls of targets that came before there was a leader.
   void decide_held_calls(Instant now);
   void propose_registrations();
+  void log_announced(const RegisteredTarget& target) const;
+  static void log_ended(const TargetLife& life);
   /// Logs that an announcement begins another life of a target that is known.
   void log_restart(const RegisteredTarget& announced) const;
 
@@ -133,6 +141,9 @@
   /// Registrations of this turn of the loop: they go into one entry.
   RegistrationCommand registrations_;
   std::vector<SteeringCallback> registration_callbacks_;
+  /// Calls of targets that the leader decides about.
+  ForwardedCalls forwarded_;
+  bool is_forwarding_ = false;
   /// Calls of targets that wait for the first leader since the start; each decides itself.
   std::vector<std::function<void()>> held_calls_;
   Instant started_at_ = monotonic_now();
--- /dev/null
+++ b/src/tasks/forwarded_calls.h
@@ -0,0 +1,54 @@
+/// Calls of targets that a follower has passed on to the leader: each is answered once the state
+/// that this replica has committed holds what the target said. So targets need not come to the
+/// leader, which would otherwise have the connections of all of them: with 10,000 targets and 25
+/// replicas, the busiest had 5,957 files open while the others idled.
+#pragma once
+
+#include <functional>
+#include <variant>
+#include <vector>
+
+#include "core/control/control_node.h"
+#include "tasks/waiting_proposals.h"
+
+namespace gorsevalve {
+
+class ForwardedCalls {
+ public:
+  /// What a target said: something of itself, or that a life of it has ended.
+  using Said = std::variant<RegisteredTarget, TargetLife>;
+
+  /// Calls that wait at most; further ones are sent to the leader.
+  static constexpr std::size_t kMaxWaiting = 4096;
+
+  [[nodiscard]] bool is_full() const { return waiting_.size() >= kMaxWaiting; }
+  [[nodiscard]] std::size_t waiting() const { return waiting_.size(); }
+  /// Keeps a call until it is decided; `decide_again` is what to do with it when the leader
+  /// changes.
+  void add(Said said, SteeringCallback callback, std::function<void()> decide_again,
+           Instant deadline);
+  /// What has been added since the last call, to be sent to the leader.
+  [[nodiscard]] ForwardedRegistrations take_unsent();
+  /// Answers calls that the committed state holds by now, and those whose deadline has passed.
+  void answer(const ControlNode& node, Instant now);
+  /// What was sent to an earlier leader may be lost: calls are decided anew when another one leads.
+  void follow_leader(const std::optional<Endpoint>& leader);
+
+ private:
+  struct Waiting {
+    Said said;
+    SteeringCallback callback;
+    std::function<void()> decide_again;
+    Instant deadline;
+  };
+
+  std::vector<Waiting> waiting_;
+  ForwardedRegistrations unsent_;
+  std::optional<Endpoint> leader_;
+  /// The revision that the calls were last held against.
+  Revision revision_ = 0;
+  /// When the first deadline passes.
+  Instant next_deadline_ = Instant::max();
+};
+
+}  // namespace gorsevalve
--- a/src/tasks/log_events.h
+++ b/src/tasks/log_events.h
@@ -76,6 +76,7 @@
   kTargetRestarted,
   kTargetEnded,
   kRegistrationsDecided,
+  kForwardedUndecided,
   kAnnouncementRefused,
   kLogLinesDropped,
 };
@@ -212,14 +213,17 @@
         {LogEvent::kEvacuationRefused, "evacuation_refused", LogLevel::kWarning, LogClass::kState,
          "The order names a zone that is not known; those that are known are named."},
         {LogEvent::kTargetAnnounced, "target_announced", LogLevel::kInfo, LogClass::kState,
-         "A target said something new; phase 0 is ready, 2 draining."},
+         "A target said something new here; phase 0 is ready, 2 draining."},
         {LogEvent::kTargetRestarted, "target_restarted", LogLevel::kInfo, LogClass::kState,
          "A target began another life under its id; nothing that was known of the earlier one "
          "holds."},
         {LogEvent::kTargetEnded, "target_ended", LogLevel::kInfo, LogClass::kState,
-         "A target said that it ends."},
+         "A target said here that it ends."},
         {LogEvent::kRegistrationsDecided, "registrations_decided", LogLevel::kInfo,
          LogClass::kState, "What the targets of one entry were told."},
+        {LogEvent::kForwardedUndecided, "forwarded_undecided", LogLevel::kWarning, LogClass::kState,
+         "Calls of targets that went to the leader were not committed in time; the targets ask "
+         "again."},
         {LogEvent::kAnnouncementRefused, "announcement_refused", LogLevel::kWarning,
          LogClass::kRoutine, "An announcement is invalid; the field is named."},
         {LogEvent::kLogLinesDropped, "log_lines_dropped", LogLevel::kWarning, LogClass::kState,
