An opening in a large pool looks at a sample

Cause: each opening looked at every target of its pool: 8,000 in the fleet, for each of its 985 balancers, so the cost of a flow grew with the fleet (counted: 500, 1,000, 2,000, 4,000 and 8,000 targets looked at in pools of that size). Change: 128 targets, spread over the pool's list, are looked at where it has more; where none of these is fit (all in trouble, cut off or cold without a turn) the whole pool is. Policy field sample; 0 looks at all.

--- a/src/core/steering/flow_placement.cc
+++ b/src/core/steering/flow_placement.cc
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr std::uint64_t kTieSalt = 0x7469650000ULL;
+constexpr std::uint64_t kSampleSalt = 0x73616d706c00ULL;
 constexpr std::uint64_t kReturnSalt = 0x7265740000ULL;
 
 /// What speaks against a target, whatever its load is.
@@ -62,6 +63,85 @@
   return admission == WarmUpAdmission::kUnknownAge ? Doubt::kUnknownAge : Doubt::kNone;
 }
 
+/// What a look at some targets has found.
+struct Choice {
+  const RegisteredTarget* best = nullptr;
+  Rank rank;
+  /// A cold target was passed over, since others have the turn.
+  bool passed_over = false;
+
+  /// True when a look at more targets would hardly find a better one.
+  [[nodiscard]] bool is_fit() const { return best != nullptr && rank.doubt < Doubt::kTroubled; }
+};
+
+/// Looks at targets for one opening, one after the other.
+class CandidateScan {
+ public:
+  CandidateScan(const PlacementInputs& inputs, const SteeringPolicy& policy, double typical_us,
+                std::uint64_t flow_key, TargetId avoided, Instant now)
+      : inputs_(inputs),
+        policy_(policy),
+        typical_us_(typical_us),
+        flow_key_(flow_key),
+        avoided_(avoided),
+        now_(now),
+        has_cold_(!inputs.warm_up.is_empty()),
+        // Without figures of all balancers, the own view decides alone.
+        is_stepped_(policy.load_step > 0 && inputs.scores.has_figures()) {}
+
+  /// Where in a list of some length the sample of this opening begins.
+  [[nodiscard]] std::size_t position(std::size_t length) const {
+    return static_cast<std::size_t>(rendezvous_score(flow_key_, 0, kSampleSalt) % length);
+  }
+
+  /// Keeps the target when it is better than the best one so far.
+  void look_at(const RegisteredTarget& target, Choice& choice) const {
+    if (target.id == avoided_) {
+      return;
+    }
+    const WarmUpAdmission admission =
+        has_cold_ ? inputs_.warm_up.admission(target.id, now_) : WarmUpAdmission::kFree;
+    if (admission == WarmUpAdmission::kNoTurn) {
+      choice.passed_over = true;
+      return;
+    }
+    const Rank rank{doubt_of(inputs_, target, admission, flow_key_, now_),
+                    load_of(target, admission),
+                    race_time(rendezvous_score(flow_key_, target.token, kTieSalt),
+                              weight_of(target, admission))};
+    if (choice.best == nullptr || rank < choice.rank) {
+      choice.best = &target;
+      choice.rank = rank;
+    }
+  }
+
+ private:
+  [[nodiscard]] double load_of(const RegisteredTarget& target, WarmUpAdmission admission) const {
+    double load = inputs_.scores.load(target, typical_us_, now_);
+    // During its turn a cold target is as good as a warm one: the budget keeps it from more than it
+    // carries.
+    if (admission == WarmUpAdmission::kTurn) {
+      load /= policy_.cold_penalty;
+    }
+    return is_stepped_ ? std::floor(load / policy_.load_step) : load;
+  }
+
+  [[nodiscard]] double weight_of(const RegisteredTarget& target, WarmUpAdmission admission) const {
+    const double weight = inputs_.scores.preference(target);
+    const bool has_turn = admission == WarmUpAdmission::kTurn;
+    return has_turn ? weight * inputs_.warm_up.turn_weight(target.id) : weight;
+  }
+
+  const PlacementInputs& inputs_;
+  const SteeringPolicy& policy_;
+  double typical_us_;
+  std::uint64_t flow_key_;
+  TargetId avoided_;
+  Instant now_;
+  bool has_cold_;
+  bool is_stepped_;
+};
+
 }  // namespace
 
 void FlowPlacement::adopt(const SteeringView& view) {
@@ -130,12 +210,11 @@
 double FlowPlacement::typical_answer_us(const PlacementInputs& inputs, std::uint32_t pool,
                                         Instant now) {
   std::vector<double> samples;
-  for (const RegisteredTarget* target : inputs.view.pool_targets(pool)) {
-    const double sample = inputs.scores.recent_answer_us(target->id, now);
-    if (sample > 0) {
-      samples.push_back(sample);
+  inputs.scores.visit_answered(now, [&](TargetId id, double answer_us) {
+    if (inputs.view.is_in_pool(id, pool)) {
+      samples.push_back(answer_us);
     }
-  }
+  });
   if (samples.empty()) {
     return 0;
   }
@@ -148,58 +227,39 @@
 const RegisteredTarget* FlowPlacement::best_of(const PlacementInputs& inputs, std::uint32_t pool,
                                                const CallerPacket& packet, TargetId avoided,
                                                Instant now) const {
-  const double typical_us = typical_answer_us(inputs, pool, now);
-  const std::uint64_t flow_key = packed(packet.flow.caller) ^ seed_;
-  // Without figures of all balancers, the own view decides alone.
-  const auto rounded = [&](double load) {
-    const bool is_stepped = policy_.load_step > 0 && inputs.scores.has_figures();
-    return is_stepped ? std::floor(load / policy_.load_step) : load;
-  };
-  // During its turn a cold target is as good as a warm one: the budget keeps it from more than it
-  // carries.
-  const auto load_of = [&](const RegisteredTarget& target, WarmUpAdmission admission) {
-    const double load = inputs.scores.load(target, typical_us, now);
-    return admission == WarmUpAdmission::kTurn ? load / policy_.cold_penalty : load;
-  };
-  const auto weight_of = [&](const RegisteredTarget& target, WarmUpAdmission admission) {
-    const double weight = inputs.scores.preference(target);
-    const bool has_turn = admission == WarmUpAdmission::kTurn;
-    return has_turn ? weight * inputs.warm_up.turn_weight(target.id) : weight;
-  };
-  const bool has_cold = !inputs.warm_up.is_empty();
-  bool passed_over = false;
-  const RegisteredTarget* best = nullptr;
-  Rank best_rank;
-  for (const RegisteredTarget* candidate : inputs.view.pool_targets(pool)) {
-    const RegisteredTarget& target = *candidate;
-    if (target.id == avoided) {
-      continue;
+  const std::vector<const RegisteredTarget*>& targets = inputs.view.pool_targets(pool);
+  const CandidateScan scan(inputs, policy_, typical_answer_us(inputs, pool, now),
+                           packed(packet.flow.caller) ^ seed_, avoided, now);
+  const auto sample = static_cast<std::size_t>(policy_.sample);
+  const bool is_sampled = sample > 0 && targets.size() > sample;
+  Choice choice;
+  if (is_sampled) {
+    // Spread over the list: neighbours came together, and may be cold or gone together.
+    const std::size_t stride = targets.size() / sample;
+    const std::size_t first = scan.position(targets.size());
+    for (std::size_t i = 0; i < sample; ++i) {
+      scan.look_at(*targets[(first + i * stride) % targets.size()], choice);
     }
-    const WarmUpAdmission admission =
-        has_cold ? inputs.warm_up.admission(target.id, now) : WarmUpAdmission::kFree;
-    if (admission == WarmUpAdmission::kNoTurn) {
-      passed_over = true;
-      continue;
-    }
-    const Rank rank{doubt_of(inputs, target, admission, flow_key, now),
-                    rounded(load_of(target, admission)),
-                    race_time(rendezvous_score(flow_key, target.token, kTieSalt),
-                              weight_of(target, admission))};
-    if (best == nullptr || rank < best_rank) {
-      best = &target;
-      best_rank = rank;
+    counters_.looked_at += sample;
+  }
+  if (!is_sampled || !choice.is_fit()) {
+    counters_.whole_pools += is_sampled ? 1 : 0;
+    counters_.looked_at += targets.size();
+    choice = {};
+    for (const RegisteredTarget* target : targets) {
+      scan.look_at(*target, choice);
     }
   }
-  if (!passed_over) {
-    return best;
+  if (!choice.passed_over) {
+    return choice.best;
   }
   // The bound is the operator's: a target beyond what it carries cold answers all of its callers
   // late, while a caller that is refused at once meets another balancer, which may have the turn.
-  if (best == nullptr || best_rank.doubt == Doubt::kUnreachable) {
+  if (choice.best == nullptr || choice.rank.doubt == Doubt::kUnreachable) {
     return nullptr;
   }
   inputs.warm_up.on_passed_over();
-  return best;
+  return choice.best;
 }
 
 }  // namespace gorsevalve
--- a/src/core/steering/flow_placement.h
+++ b/src/core/steering/flow_placement.h
@@ -17,6 +17,13 @@
 
 namespace gorsevalve {
 
+struct PlacementCounters {
+  /// Targets that openings have looked at.
+  std::uint64_t looked_at = 0;
+  /// Openings that found none fit in their sample, and looked at the whole pool.
+  std::uint64_t whole_pools = 0;
+};
+
 /// What a choice depends on.
 struct PlacementInputs {
   const SteeringView& view;
@@ -36,6 +43,7 @@
   /// none, or when all that can be reached are cold and may not take a flow from here now.
   const RegisteredTarget* place(const PlacementInputs& inputs, const FrontendView& frontend,
                                 const CallerPacket& packet, TargetId avoided, Instant now);
+  [[nodiscard]] const PlacementCounters& counters() const { return counters_; }
   void on_frontend_dropped(const Endpoint& address) { credits_.erase(address); }
   /// Forgets frontends that the view does not have.
   void adopt(const SteeringView& view);
@@ -49,12 +57,14 @@
                             Instant now);
   /// The pool whose turn it is by weight (smooth weighted round robin).
   std::uint32_t next_pool(const FrontendView& frontend);
+  /// The best of a pool; of a large one, that of a sample, unless none of the sample is fit.
   [[nodiscard]] const RegisteredTarget* best_of(const PlacementInputs& inputs, std::uint32_t pool,
                                                 const CallerPacket& packet, TargetId avoided,
                                                 Instant now) const;
 
   std::uint64_t seed_;
   SteeringPolicy policy_;
+  mutable PlacementCounters counters_;
   /// Credit of each share of a frontend for the weighted round robin.
   absl::flat_hash_map<Endpoint, std::vector<std::int64_t>> credits_;
 };
--- a/src/core/steering/flow_steering.h
+++ b/src/core/steering/flow_steering.h
@@ -153,6 +153,9 @@
   [[nodiscard]] bool has_settings() const { return view_.version() > 0; }
   [[nodiscard]] std::size_t flows() const { return flows_.size(); }
   [[nodiscard]] const TargetScores& scores() const { return scores_; }
+  [[nodiscard]] const PlacementCounters& placement_counters() const {
+    return placement_.counters();
+  }
   void set_faults(const SteeringFaults& faults) {
     faults_ = faults;
     reachability_.set_faults(faults.reachability);
--- a/src/core/steering/steering_policy.cc
+++ b/src/core/steering/steering_policy.cc
@@ -38,6 +38,8 @@
                 "how strongly what all balancers saw decides between equal loads"},
     PolicyField{"near_preference", &SteeringPolicy::near_preference, 1, 1000,
                 "how often a target in the own zone wins against one elsewhere"},
+    PolicyField{"sample", &SteeringPolicy::sample, 0, 100000,
+                "targets that an opening looks at in a larger pool; 0: all"},
 };
 
 std::string text_of(double value) { return absl::StrCat(value); }
--- a/src/core/steering/steering_policy.h
+++ b/src/core/steering/steering_policy.h
@@ -37,6 +37,11 @@
   double pressure_exponent = 4;
   /// How often a target in the own zone wins against one elsewhere: octets between zones are dear.
   double near_preference = 4;
+  /// Targets that an opening looks at in a larger pool; 0 for all. With as many chosen at random,
+  /// the least loaded of them is nearly as good as that of the pool (Mitzenmacher, "The power of
+  /// two choices in randomized load balancing", 2001, for two of them), and an opening costs the
+  /// same in a pool of 8,000 as in one of 256. Where none of them is fit, all are looked at.
+  double sample = 128;
 };
 
 /// One number of a policy: its name, its bounds, and what it does.
