--- a/src/model/steering.h
+++ b/src/model/steering.h
@@ -202,20 +202,20 @@
   }
 
  private:
-  /// As a list: each target holds its id.
+  /// As a list, each target with its id: octet by octet what a vector of them would be.
   template <class Archive>
   void serialize_targets(Archive& archive) {
-    std::vector<RegisteredTarget> list;
+    std::uint64_t count = targets.size();
+    archive& count;
     if constexpr (Archive::is_saving::value) {
-      list.reserve(targets.size());
       for (const auto& [id, target] : targets) {
-        list.push_back(target);
+        archive& target;
       }
-    }
-    archive& list;
-    if constexpr (Archive::is_loading::value) {
+    } else {
       targets.clear();
-      for (auto& target : list) {
+      for (std::uint64_t i = 0; i < count && !archive.failed(); ++i) {
+        RegisteredTarget target;
+        archive& target;
         put(std::move(target));
       }
     }
