--- a/src/core/control/control_node.cc
+++ b/src/core/control/control_node.cc
@@ -137,14 +137,10 @@
   }
   board_.add(report.observations, now);
   places_.on_reported(report.balancers, now);
-  replica_zones_.on_reported({report.replica, report.zone}, now);
   const std::vector<Endpoint> may_stop = MembershipController::may_stop(state_.fleet(), nodes_);
-  ReportReply reply{report.sequence, may_stop, figures_after(report.figures_edition),
-                    places_.places_of(report.balancers, now)};
-  if (report.replicas_digest != replica_zones_.digest()) {
-    reply.replicas = replica_zones_.replicas();
-  }
-  output_.send_node(from, reply);
+  output_.send_node(from,
+                    ReportReply{report.sequence, may_stop, figures_after(report.figures_edition),
+                                places_.places_of(report.balancers, now)});
 }
 
 void ControlNode::handle(const Endpoint& from, const TargetFigures& figures, Instant /*now*/) {
@@ -187,9 +183,6 @@
   }
   if (!replica_->is_leader()) {
     places_.on_told(reply.places, now);
-    if (reply.replicas) {
-      replica_zones_.on_told(*reply.replicas);
-    }
   }
 }
 
@@ -205,8 +198,6 @@
   report.observations = board_.take_observations(now);
   report.figures_edition = figures_.edition;
   report.balancers = places_.local_balancers(now);
-  report.zone = zone_;
-  report.replicas_digest = replica_zones_.digest();
   for (const auto& [id, heard] : std::exchange(heard_targets_, {})) {
     const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - heard.at);
     report.targets.push_back({{id, heard.started_at_ms}, static_cast<std::uint32_t>(age.count())});
@@ -229,13 +220,10 @@
     registrations_.on_elected(now);
     board_.clear();
     places_.on_elected(now);
-    replica_zones_.on_elected(now);
   }
   lead_registrations(now);
   lead_figures(now);
   places_.number_all(now);
-  replica_zones_.on_reported({config_.address, zone_}, now);
-  replica_zones_.on_tick(now);
   const std::vector<Endpoint> stop = MembershipController::may_stop(state_.fleet(), nodes_);
   may_stop_ = std::set<Endpoint>(stop.begin(), stop.end());
   if (pending_members_ > replica_->commit_index()) {
--- a/src/core/control/control_node.h
+++ b/src/core/control/control_node.h
@@ -127,11 +127,6 @@
   [[nodiscard]] const NodeRegistry& nodes() const { return nodes_; }
   /// How many balancers get updates from this replica.
   [[nodiscard]] std::size_t balancers_served() const { return publisher_.followers(); }
-  /// The replica, by its address for peers, that a target should keep to; nothing when its zone has
-  /// none.
-  [[nodiscard]] std::optional<Endpoint> home_of(const RegisteredTarget& target) const {
-    return replica_zones_.home_of(target.id, target.zone);
-  }
   /// What balancers are told of targets.
   [[nodiscard]] const TargetFigures& figures() const { return figures_; }
 
@@ -179,7 +174,6 @@
   RegistrationMonitor registrations_{RegistrationTiming{}};
   Instant next_conclusion_;
   BalancerPlaces places_;
-  ReplicaZones replica_zones_;
   FigureBoard board_;
   TargetFigures figures_;
   Instant figures_at_;
--- a/src/core/control/node_messages.h
+++ b/src/core/control/node_messages.h
@@ -9,7 +9,6 @@
 #include <vector>
 
 #include "core/control/control_state.h"
-#include "core/control/replica_zones.h"
 #include "model/balancer_place.h"
 #include "model/fleet.h"
 #include "model/target_figures.h"
@@ -122,15 +121,10 @@
   std::uint64_t figures_edition = 0;
   /// All balancers that it serves, observers too.
   std::vector<Endpoint> balancers{};
-  /// Where it runs; may be empty.
-  std::string zone{};
-  /// Digest of the list of replicas that it has (ReplicaZones).
-  std::uint64_t replicas_digest = 0;
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
     archive& sequence& replica& nodes& targets& observations& figures_edition& balancers;
-    archive& zone& replicas_digest;
   }
 };
 
@@ -143,12 +137,10 @@
   std::optional<TargetFigures> figures{};
   /// Places of the reported balancers; none while the leader does not know all balancers.
   std::vector<PlacedBalancer> places{};
-  /// Set when the follower has another list of replicas.
-  std::optional<std::vector<ReplicaZone>> replicas{};
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive& sequence& may_stop& figures& places& replicas;
+    archive& sequence& may_stop& figures& places;
   }
 };
 
