--- a/src/core/steering/flow_placement.cc
+++ b/src/core/steering/flow_placement.cc
@@ -226,7 +226,7 @@
 
 const RegisteredTarget* FlowPlacement::best_of(const PlacementInputs& inputs, std::uint32_t pool,
                                                const CallerPacket& packet, TargetId avoided,
-                                               Instant now) const {
+                                               Instant now) {
   const std::vector<const RegisteredTarget*>& targets = inputs.view.pool_targets(pool);
   const CandidateScan scan(inputs, policy_, typical_answer_us(inputs, pool, now),
                            packed(packet.flow.caller) ^ seed_, avoided, now);
--- a/src/core/steering/flow_placement.h
+++ b/src/core/steering/flow_placement.h
@@ -60,11 +60,11 @@
   /// The best of a pool; of a large one, that of a sample, unless none of the sample is fit.
   [[nodiscard]] const RegisteredTarget* best_of(const PlacementInputs& inputs, std::uint32_t pool,
                                                 const CallerPacket& packet, TargetId avoided,
-                                                Instant now) const;
+                                                Instant now);
 
   std::uint64_t seed_;
   SteeringPolicy policy_;
-  mutable PlacementCounters counters_;
+  PlacementCounters counters_;
   /// Credit of each share of a frontend for the weighted round robin.
   absl::flat_hash_map<Endpoint, std::vector<std::int64_t>> credits_;
 };
--- /dev/null
+++ b/src/tasks/control_task_targets.cc
@@ -0,0 +1,154 @@
+/// The control task's part that answers targets: what they announce and that they end, decided here
+/// by the leader, or passed on to it.
+#include <utility>
+
+#include "tasks/control_task.h"
+#include "tasks/log.h"
+
+namespace gorsevalve {
+namespace {
+
+/// For this long after a start, calls of targets wait for a leader. After a loss of all, targets
+/// that were refused would at once ask the next replica, which cannot answer either: their calls,
+/// several for each, kept the replicas from their election. Less than the second for which targets
+/// wait.
+constexpr Duration kFirstLeaderTime = std::chrono::milliseconds(800);
+/// Calls that wait at most; further ones are refused.
+constexpr std::size_t kMaxHeldCalls = 4096;
+
+}  // namespace
+
+void ControlTask::announce(RegisteredTarget announced, SteeringCallback callback) {
+  const Instant now = monotonic_now();
+  const AnnouncementStatus status =
+      stopping_ ? AnnouncementStatus::kNotLeader : node_->hear(announced, now);
+  if (status == AnnouncementStatus::kNotLeader && may_hold_call(now)) {
+    held_calls_.push_back([this, announced, callback] { announce(announced, callback); });
+    return;
+  }
+  if (status == AnnouncementStatus::kForward && !forwarded_.is_full()) {
+    forward(announced, callback, [this, announced, callback] { announce(announced, callback); });
+  } else if (status == AnnouncementStatus::kHeld) {
+    callback({SteeringStatus::kAcknowledged, std::nullopt});
+  } else if (status != AnnouncementStatus::kNews) {
+    callback(not_leader());
+  } else {
+    registrations_.announced.push_back(std::move(announced));
+    queue_registration(std::move(callback));
+  }
+}
+
+void ControlTask::end_target(TargetId id, std::optional<TargetStart> started_at_ms,
+                             SteeringCallback callback) {
+  const Instant now = monotonic_now();
+  const TargetLife life = node_->life_to_end(id, started_at_ms, unix_now_ms());
+  const AnnouncementStatus status =
+      stopping_ ? AnnouncementStatus::kNotLeader : node_->hear_end(life, now);
+  if (status == AnnouncementStatus::kNotLeader && may_hold_call(now)) {
+    held_calls_.push_back(
+        [this, id, started_at_ms, callback] { end_target(id, started_at_ms, callback); });
+    return;
+  }
+  if (status == AnnouncementStatus::kForward && !forwarded_.is_full()) {
+    forward(life, callback,
+            [this, id, started_at_ms, callback] { end_target(id, started_at_ms, callback); });
+  } else if (status == AnnouncementStatus::kHeld) {
+    callback({SteeringStatus::kAcknowledged, std::nullopt});
+  } else if (status != AnnouncementStatus::kNews) {
+    callback(not_leader());
+  } else {
+    registrations_.ended.push_back(life);
+    queue_registration(std::move(callback));
+  }
+}
+
+bool ControlTask::awaits_first_leader(Instant now) const {
+  const bool has_leader = node_->replica().is_leader() || node_->other_leader(now).has_value();
+  return !stopping_ && !has_leader && now - started_at_ < kFirstLeaderTime;
+}
+
+bool ControlTask::may_hold_call(Instant now) const {
+  return awaits_first_leader(now) && held_calls_.size() < kMaxHeldCalls;
+}
+
+void ControlTask::decide_held_calls(Instant now) {
+  if (held_calls_.empty() || awaits_first_leader(now)) {
+    return;
+  }
+  for (const auto& decide : std::exchange(held_calls_, {})) {
+    decide();
+  }
+}
+
+void ControlTask::forward(ForwardedCalls::Said said, SteeringCallback callback,
+                          std::function<void()> decide_again) {
+  forwarded_.add(std::move(said), std::move(callback), std::move(decide_again),
+                 monotonic_now() + config_.steering_timeout);
+  // What comes in one turn of the loop goes in one message.
+  if (!std::exchange(is_forwarding_, true)) {
+    loop_.post([this] { send_forwarded(); });
+  }
+}
+
+void ControlTask::send_forwarded() {
+  is_forwarding_ = false;
+  const ForwardedRegistrations said = forwarded_.take_unsent();
+  for (const auto& target : said.announced) {
+    log_announced(target);
+  }
+  for (const TargetLife& life : said.ended) {
+    log_ended(life);
+  }
+  node_->forward(said);
+}
+
+void ControlTask::answer_forwarded(Instant now) {
+  forwarded_.answer(*node_, now);
+  const Replica& replica = node_->replica();
+  forwarded_.follow_leader(replica.is_leader() ? config_.address : node_->other_leader(now));
+}
+
+void ControlTask::queue_registration(SteeringCallback callback) {
+  registration_callbacks_.push_back(std::move(callback));
+  if (registration_callbacks_.size() == 1) {
+    loop_.post([this] { propose_registrations(); });
+  }
+}
+
+void ControlTask::propose_registrations() {
+  const RegistrationCommand command = std::exchange(registrations_, {});
+  for (const auto& target : command.announced) {
+    log_announced(target);
+  }
+  for (const TargetLife& life : command.ended) {
+    log_ended(life);
+  }
+  wait_for(node_->propose(command, monotonic_now()), std::exchange(registration_callbacks_, {}),
+           std::monostate{});
+}
+
+void ControlTask::log_announced(const RegisteredTarget& target) const {
+  log_event(LogEvent::kTargetAnnounced, {{"target", target.id},
+                                         {"pool", target.pool},
+                                         {"phase", static_cast<int>(target.phase)},
+                                         {"started_at_ms", target.started_at_ms},
+                                         {"sequence", target.sequence}});
+  log_restart(target);
+}
+
+void ControlTask::log_ended(const TargetLife& life) {
+  log_event(LogEvent::kTargetEnded, {{"target", life.id}, {"started_at_ms", life.started_at_ms}});
+}
+
+void ControlTask::log_restart(const RegisteredTarget& announced) const {
+  const RegisteredTarget* known = find_target(node_->state().fleet().steering, announced.id);
+  if (known == nullptr || known->started_at_ms == announced.started_at_ms) {
+    return;
+  }
+  log_event(LogEvent::kTargetRestarted, {{"target", announced.id},
+                                         {"started_at_ms", announced.started_at_ms},
+                                         {"earlier_started_at_ms", known->started_at_ms},
+                                         {"earlier_phase", static_cast<int>(known->phase)}});
+}
+
+}  // namespace gorsevalve
