Each class of tests with real replicas has its own network

It used the loopback addresses of integration.evacuation, whose harness it shares, and ctest runs both at once. Shown: both started together on an idle build failed the same two cases. Change: a class names its network; together they pass (4 and 5 cases). Ruled out: forwarding under load.

--- a/tests/platform/replicated.py
+++ b/tests/platform/replicated.py
@@ -13,8 +13,6 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 BUILD = pathlib.Path(os.environ.get("GORSEVALVE_BUILD", ROOT / "build" / "release"))
 PATIENCE = 60
-REPLICAS = ("127.93.1.1", "127.93.1.2", "127.93.1.3")
-BALANCER = "127.93.2.1"
 CONTROL_PORT = 8166
 READINESS_PORT = 8167
 
@@ -42,20 +40,25 @@
 
 
 class ReplicatedTest(unittest.TestCase):
-    """Each test starts three replicas and a balancer."""
+    """Each test starts three replicas and a balancer. A class sets `network`: classes run at once."""
+
+    network = None
 
     def setUp(self):
+        self.replicas = tuple(f"{self.network}.1.{number}" for number in (1, 2, 3))
+        self.balancer = f"{self.network}.2.1"
+        self.machines = (*self.replicas, self.balancer)
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         self.folder = pathlib.Path(folder.name)
         self.processes = {}
         self.addCleanup(self.kill_all)
-        for ip in (*REPLICAS, BALANCER):
+        for ip in self.machines:
             self.start(ip, first_start=True)
 
     def settings(self, ip, first_start):
-        is_replica = ip in REPLICAS
-        seeds = ", ".join(f'"{replica}:{CONTROL_PORT}"' for replica in REPLICAS)
+        is_replica = ip in self.replicas
+        seeds = ", ".join(f'"{replica}:{CONTROL_PORT}"' for replica in self.replicas)
         fields = {
             "name": f'"{ip}"', "zone": '"zone-a"', "ip": f'"{ip}"', "first_internal_port": 7720,
             "datagrams": '""' if is_replica else f'"{ip}:8172"',
@@ -73,7 +76,7 @@
         self.data(ip).mkdir(parents=True, exist_ok=True)
         path = self.folder / ip / "node.toml"
         path.write_text(self.settings(ip, first_start))
-        program = "gorsevalve-platform-" + ("control" if ip in REPLICAS else "balancer")
+        program = "gorsevalve-platform-" + ("control" if ip in self.replicas else "balancer")
         with open(self.folder / ip / "log", "ab") as log:
             self.processes[ip] = subprocess.Popen(
                 [str(BUILD / program)], stdout=log, stderr=log,
@@ -97,7 +100,7 @@
             time.sleep(0.1)
 
     def metric(self, ip, name):
-        port = CONTROL_PORT if ip in REPLICAS else READINESS_PORT
+        port = CONTROL_PORT if ip in self.replicas else READINESS_PORT
         _, text, _ = call("GET", f"http://{ip}:{port}/metrics")
         values = [line.split()[-1] for line in text.splitlines() if line.startswith(f"gorsevalve_{name} ")]
         return float(values[0]) if values else None
--- a/tests/platform/test_announcements.py
+++ b/tests/platform/test_announcements.py
@@ -5,16 +5,17 @@
 import time
 import unittest
 
-from replicated import BALANCER, CONTROL_PORT, PATIENCE, REPLICAS, ReplicatedTest, call
+from replicated import CONTROL_PORT, PATIENCE, ReplicatedTest, call
 
 FIRST_START = 1764732526000
 TARGET = "i-00000000000000a1"
 
 
 class AnnouncementTest(ReplicatedTest):
+    network = "127.94"
 
     def announce(self, replica, sequence, born=FIRST_START, state="ready", target=TARGET):
-        body = {"service": "alpha", "address": "127.93.3.1:9000", "zone": "zone-a", "version": "v1", "slots": 2,
+        body = {"service": "alpha", "address": "127.94.3.1:9000", "zone": "zone-a", "version": "v1", "slots": 2,
                 "state": state, "warmup_left_ms": 0, "seq": sequence, "born": born}
         return self.put(replica, json.dumps(body).encode(), target)
 
@@ -34,27 +35,27 @@
 
     def wait_for_leader(self):
         self.wait_until("one leads and all hear it",
-                        lambda: sum(self.metric(ip, "leader") or 0 for ip in REPLICAS) == 1)
-        self.acknowledged(lambda: self.announce(REPLICAS[0], 1))
-        for ip in REPLICAS:
+                        lambda: sum(self.metric(ip, "leader") or 0 for ip in self.replicas) == 1)
+        self.acknowledged(lambda: self.announce(self.replicas[0], 1))
+        for ip in self.replicas:
             self.acknowledged(lambda ip=ip: self.announce(ip, 1))
 
     def test_news_is_taken_at_every_replica_without_a_redirect(self):
         self.wait_for_leader()
-        for number, ip in enumerate(REPLICAS, start=0xb0):
+        for number, ip in enumerate(self.replicas, start=0xb0):
             status, _, location = self.announce(ip, 1, target=f"i-{number:016x}")
             self.assertEqual((status, location), (200, ""))
-        self.wait_until("the balancer knows all", lambda: self.metric(BALANCER, "targets") == 1 + len(REPLICAS))
-        for number, ip in enumerate(reversed(REPLICAS), start=0xb0):
+        self.wait_until("the balancer knows all", lambda: self.metric(self.balancer, "targets") == 1 + len(self.replicas))
+        for number, ip in enumerate(reversed(self.replicas), start=0xb0):
             status, _, location = call("DELETE", f"http://{ip}:{CONTROL_PORT}/-/instances/i-{number:016x}")
             self.assertEqual((status, location), (200, ""))
         # Each replica logs what it was told itself.
-        for ip in REPLICAS:
+        for ip in self.replicas:
             self.assertEqual(len([line for line in self.log(ip) if line["event"] == "target_ended"]), 1)
 
     def test_a_target_that_starts_again_under_its_id_is_taken_whatever_it_was_before(self):
         self.wait_for_leader()
-        follower = next(ip for ip in REPLICAS if self.metric(ip, "leader") == 0)
+        follower = next(ip for ip in self.replicas if self.metric(ip, "leader") == 0)
         for life, before in enumerate(("ready", "draining", "ended")):
             born = FIRST_START + 1000 * life
             status, _, _ = self.announce(follower, 900 + life, born)
@@ -75,9 +76,9 @@
 
     def test_what_another_writer_sends_is_refused_and_counted_and_the_others_hold(self):
         self.wait_for_leader()
-        replica = REPLICAS[1]
+        replica = self.replicas[1]
         foreign = (b"", b"\xff\xfe", b"[]", b"{}", b"[" * 50000, b'{"service":7}',
-                   json.dumps({"service": "alpha", "address": "127.93.3.1:9000", "zone": "zone-a", "slots": 2,
+                   json.dumps({"service": "alpha", "address": "127.94.3.1:9000", "zone": "zone-a", "slots": 2,
                                "state": "resting", "warmup_left_ms": 0, "seq": 5, "born": 1}).encode())
         for body in foreign:
             self.assertEqual(self.put(replica, body)[0], 400)
@@ -86,17 +87,17 @@
         lines = [line for line in self.log(replica) if line["event"] == "announcement_refused"]
         self.assertLessEqual(len(lines), 1 + len(foreign) // 2)
         self.assertEqual(self.announce(replica, 2)[0], 200)
-        self.wait_until("the balancer still knows the target", lambda: self.metric(BALANCER, "targets") == 1)
+        self.wait_until("the balancer still knows the target", lambda: self.metric(self.balancer, "targets") == 1)
         self.assertTrue(all(process.poll() is None for process in self.processes.values()))
 
     def test_news_is_taken_again_after_the_leader_is_gone(self):
         self.wait_for_leader()
-        leader = next(ip for ip in REPLICAS if self.metric(ip, "leader") == 1)
-        others = [ip for ip in REPLICAS if ip != leader]
+        leader = next(ip for ip in self.replicas if self.metric(ip, "leader") == 1)
+        others = [ip for ip in self.replicas if ip != leader]
         self.kill(leader)
         for number, ip in enumerate(others, start=0xc0):
             self.acknowledged(lambda ip=ip, number=number: self.announce(ip, 1, target=f"i-{number:016x}"))
-        self.wait_until("the balancer knows all", lambda: self.metric(BALANCER, "targets") == 1 + len(others))
+        self.wait_until("the balancer knows all", lambda: self.metric(self.balancer, "targets") == 1 + len(others))
 
 
 if __name__ == "__main__":
