--- a/scripts/ablation.py
+++ b/scripts/ablation.py
@@ -32,6 +32,7 @@
     "slow targets": "slow_factor=0",
     "pressure": "pressure_exponent=0",
     "nearness": "near_preference=1",
+    "samples of large pools": "sample=0",
 }
 
 
