Test: only the flow's own target drains, as before

Cause: when targets became a map, the loop's key took the name of the flow's target, so the comparison held for every target and all of them drained: the case that a flow stays while its target drains beside one that does not was not played any more. Found by reading the change.

--- a/tests/unit/test_flow_steering.cc
+++ b/tests/unit/test_flow_steering.cc
@@ -70,7 +70,7 @@
 struct EvacuatedState {
   EvacuatedState() {
     for (auto& [id, one] : state.targets) {
-      one.zone = one.id == 3 ? "zone-b" : "zone-a";
+      one.zone = id == 3 ? "zone-b" : "zone-a";
     }
   }
   [[nodiscard]] SteeringState evacuated() const {
@@ -214,9 +214,7 @@
     const TargetId id = placed.target->id;
     const FlowToken token = placed.target->token;
     // The target drains, others come, and another balancer that never saw the flow gets it.
-    for (auto& [id, one] : state.targets) {
-      one.phase = one.id == id ? TargetPhase::kDraining : one.phase;
-    }
+    state.targets.at(id).phase = TargetPhase::kDraining;
     state.put(target(3, "alpha"));
     SteeringBalancer second(state);
     const auto followed = second.steering.on_packet(later(1, token), kStart);
