Calls of targets are decided in one place; what stood twice stands once

Change: ControlTask::decide, log_said, counter() shared, position_of for both, is_news as a yes or no, Cluster::elect. No copy of a call is made for one that is held already, as before. Behaviour and assertions are the same.

--- a/src/core/control/control_node_targets.cc
+++ b/src/core/control/control_node_targets.cc
@@ -20,16 +20,16 @@
     return AnnouncementStatus::kNotLeader;
   }
   const RegisteredTarget* known = find_target(state_.fleet().steering, announced.id);
-  const bool is_news = news_of(announced, known) != AnnouncementNews::kNone;
+  const bool says_news = is_news(announced, known);
   const bool leads = replica_->is_leader();
   // A late copy of an earlier life is no sign of the one that is known.
-  const bool is_believed = is_news || known->life() == announced.life();
+  const bool is_believed = says_news || known->life() == announced.life();
   if (is_believed && leads) {
     registrations_.on_heard(announced.life(), now);
   } else if (is_believed) {
     heard_targets_[announced.id] = {announced.started_at_ms, now};
   }
-  if (!is_news) {
+  if (!says_news) {
     return AnnouncementStatus::kHeld;
   }
   return leads ? AnnouncementStatus::kNews : AnnouncementStatus::kForward;
@@ -56,7 +56,7 @@
 
 bool ControlNode::holds(const RegisteredTarget& announced) const {
   const RegisteredTarget* known = find_target(state_.fleet().steering, announced.id);
-  return news_of(announced, known) == AnnouncementNews::kNone;
+  return !is_news(announced, known);
 }
 
 bool ControlNode::holds(const TargetLife& ended) const {
--- a/src/core/control/registration_change.cc
+++ b/src/core/control/registration_change.cc
@@ -23,7 +23,7 @@
 
 void RegistrationChange::announce(RegisteredTarget announced) {
   const RegisteredTarget* known = current(announced.id);
-  if (news_of(announced, known) == AnnouncementNews::kNone) {
+  if (!is_news(announced, known)) {
     return;
   }
   announced.token = known == nullptr ? choose_token(announced.id) : known->token;
--- a/src/core/control/steering_commands.cc
+++ b/src/core/control/steering_commands.cc
@@ -29,8 +29,8 @@
 constexpr std::size_t kMergeShare = 8;
 
 /// Where a frontend with this address stands, or would stand.
-std::vector<Frontend>::iterator position_of(std::vector<Frontend>& frontends,
-                                            const Endpoint& address) {
+template <typename Frontends>
+auto position_of(Frontends& frontends, const Endpoint& address) {
   return std::lower_bound(
       frontends.begin(), frontends.end(), address,
       [](const Frontend& frontend, const Endpoint& key) { return frontend.address < key; });
@@ -79,9 +79,7 @@
 }  // namespace
 
 const Frontend* find_frontend(const SteeringSettings& settings, const Endpoint& address) {
-  const auto found = std::lower_bound(
-      settings.frontends.begin(), settings.frontends.end(), address,
-      [](const Frontend& frontend, const Endpoint& key) { return frontend.address < key; });
+  const auto found = position_of(settings.frontends, address);
   const bool matches = found != settings.frontends.end() && found->address == address;
   return matches ? &*found : nullptr;
 }
--- a/src/core/control/target_lives.cc
+++ b/src/core/control/target_lives.cc
@@ -14,15 +14,14 @@
          is_as_warm;
 }
 
-AnnouncementNews news_within_life(const RegisteredTarget& announced,
-                                  const RegisteredTarget& known) {
+bool is_news_within_life(const RegisteredTarget& announced, const RegisteredTarget& known) {
   const bool is_late = announced.sequence <= known.sequence;
   if (known.phase == TargetPhase::kEnded || is_late || says_the_same(announced, known)) {
-    return AnnouncementNews::kNone;
+    return false;
   }
   const bool returns_from_draining =
       known.phase == TargetPhase::kDraining && announced.phase != TargetPhase::kDraining;
-  return returns_from_draining ? AnnouncementNews::kNone : AnnouncementNews::kChange;
+  return !returns_from_draining;
 }
 
 }  // namespace
@@ -34,15 +33,15 @@
   return start < known ? LifeOrder::kEarlier : LifeOrder::kLater;
 }
 
-AnnouncementNews news_of(const RegisteredTarget& announced, const RegisteredTarget* known) {
+bool is_news(const RegisteredTarget& announced, const RegisteredTarget* known) {
   if (known == nullptr) {
-    return AnnouncementNews::kNewLife;
+    return true;
   }
   switch (compare_lives(announced.started_at_ms, known->started_at_ms)) {
     case LifeOrder::kSame:
-      return news_within_life(announced, *known);
+      return is_news_within_life(announced, *known);
     case LifeOrder::kLater:
-      return AnnouncementNews::kNewLife;
+      return true;
     case LifeOrder::kEarlier:
       break;
   }
@@ -50,8 +49,7 @@
   // the known one has been silent: a late copy from before the known life could then only bring
   // back, for one silence, a target that nobody gets an answer from. Where the known life said that
   // it leaves or has ended, that was acknowledged, and a late copy must not undo it.
-  return known->phase == TargetPhase::kSilent ? AnnouncementNews::kNewLife
-                                              : AnnouncementNews::kNone;
+  return known->phase == TargetPhase::kSilent;
 }
 
 }  // namespace gorsevalve
--- a/src/core/control/target_lives.h
+++ b/src/core/control/target_lives.h
@@ -19,18 +19,9 @@
 /// earliest: it may be a late copy of anything.
 [[nodiscard]] LifeOrder compare_lives(TargetStart start, TargetStart known);
 
-/// What an announcement changes beside what is known of its target.
-enum class AnnouncementNews : std::uint8_t {
-  /// It is late, or says nothing that is not known.
-  kNone = 0,
-  /// The known life says something else of itself.
-  kChange = 1,
-  /// Another life begins: nothing that is known of the earlier one holds.
-  kNewLife = 2,
-};
-
-/// `known` is nullptr for a target that nothing is known of.
-[[nodiscard]] AnnouncementNews news_of(const RegisteredTarget& announced,
-                                       const RegisteredTarget* known);
+/// True when an announcement changes what is known of its target: it is not late, and says
+/// something else, or begins another life. `known` is nullptr for a target that nothing is known
+/// of.
+[[nodiscard]] bool is_news(const RegisteredTarget& announced, const RegisteredTarget* known);
 
 }  // namespace gorsevalve
--- a/src/core/steering/target_scores.cc
+++ b/src/core/steering/target_scores.cc
@@ -41,7 +41,7 @@
   by_token_[target.token] = target.id;
   const auto [found, is_first] = scores_.try_emplace(target.id);
   TargetScore& score = found->second;
-  const bool is_new = is_first || is_other_life(target);
+  const bool is_new = is_first || score.started_at_ms != target.started_at_ms;
   if (is_new) {
     score = {};
     score.started_at_ms = target.started_at_ms;
--- a/src/tasks/control_task.h
+++ b/src/tasks/control_task.h
@@ -99,7 +99,12 @@
   [[nodiscard]] SteeringReply not_leader() const;
   void wait_for(const std::optional<Proposal>& proposal, std::vector<SteeringCallback> callbacks,
                 WaitingProposals::Subject subject);
-  void queue_registration(SteeringCallback callback);
+  /// Answers a call of a target, proposes what it said, passes it on, or keeps the call until there
+  /// is a leader; `make_call` gives what makes the call anew, since most calls need no copy.
+  template <typename Said, typename MakeCall>
+  void decide(AnnouncementStatus status, const Said& said, const SteeringCallback& callback,
+              Instant now, const MakeCall& make_call);
+  void queue_registration(const ForwardedCalls::Said& said, SteeringCallback callback);
   /// Passes a call on to the leader; `decide_again` makes it anew.
   void forward(ForwardedCalls::Said said, SteeringCallback callback,
                std::function<void()> decide_again);
@@ -111,8 +116,9 @@
   /// Decides about the calls of targets that came before there was a leader.
   void decide_held_calls(Instant now);
   void propose_registrations();
-  void log_announced(const RegisteredTarget& target) const;
-  static void log_ended(const TargetLife& life);
+  /// Logs what targets said to this replica.
+  void log_said(const std::vector<RegisteredTarget>& announced,
+                const std::vector<TargetLife>& ended) const;
   /// Logs that an announcement begins another life of a target that is known.
   void log_restart(const RegisteredTarget& announced) const;
 
--- a/src/tasks/control_task_targets.cc
+++ b/src/tasks/control_task_targets.cc
@@ -22,20 +22,8 @@
   const Instant now = monotonic_now();
   const AnnouncementStatus status =
       stopping_ ? AnnouncementStatus::kNotLeader : node_->hear(announced, now);
-  if (status == AnnouncementStatus::kNotLeader && may_hold_call(now)) {
-    held_calls_.push_back([this, announced, callback] { announce(announced, callback); });
-    return;
-  }
-  if (status == AnnouncementStatus::kForward && !forwarded_.is_full()) {
-    forward(announced, callback, [this, announced, callback] { announce(announced, callback); });
-  } else if (status == AnnouncementStatus::kHeld) {
-    callback({SteeringStatus::kAcknowledged, std::nullopt});
-  } else if (status != AnnouncementStatus::kNews) {
-    callback(not_leader());
-  } else {
-    registrations_.announced.push_back(std::move(announced));
-    queue_registration(std::move(callback));
-  }
+  decide(status, announced, callback, now,
+         [&] { return [this, announced, callback] { announce(announced, callback); }; });
 }
 
 void ControlTask::end_target(TargetId id, std::optional<TargetStart> started_at_ms,
@@ -44,21 +32,24 @@
   const TargetLife life = node_->life_to_end(id, started_at_ms, unix_now_ms());
   const AnnouncementStatus status =
       stopping_ ? AnnouncementStatus::kNotLeader : node_->hear_end(life, now);
-  if (status == AnnouncementStatus::kNotLeader && may_hold_call(now)) {
-    held_calls_.push_back(
-        [this, id, started_at_ms, callback] { end_target(id, started_at_ms, callback); });
-    return;
-  }
-  if (status == AnnouncementStatus::kForward && !forwarded_.is_full()) {
-    forward(life, callback,
-            [this, id, started_at_ms, callback] { end_target(id, started_at_ms, callback); });
-  } else if (status == AnnouncementStatus::kHeld) {
+  decide(status, life, callback, now, [&] {
+    return [this, id, started_at_ms, callback] { end_target(id, started_at_ms, callback); };
+  });
+}
+
+template <typename Said, typename MakeCall>
+void ControlTask::decide(AnnouncementStatus status, const Said& said,
+                         const SteeringCallback& callback, Instant now, const MakeCall& make_call) {
+  if (status == AnnouncementStatus::kHeld) {
     callback({SteeringStatus::kAcknowledged, std::nullopt});
-  } else if (status != AnnouncementStatus::kNews) {
-    callback(not_leader());
+  } else if (status == AnnouncementStatus::kNews) {
+    queue_registration(said, callback);
+  } else if (status == AnnouncementStatus::kForward && !forwarded_.is_full()) {
+    forward(said, callback, make_call());
+  } else if (status == AnnouncementStatus::kNotLeader && may_hold_call(now)) {
+    held_calls_.emplace_back(make_call());
   } else {
-    registrations_.ended.push_back(life);
-    queue_registration(std::move(callback));
+    callback(not_leader());
   }
 }
 
@@ -75,8 +66,8 @@
   if (held_calls_.empty() || awaits_first_leader(now)) {
     return;
   }
-  for (const auto& decide : std::exchange(held_calls_, {})) {
-    decide();
+  for (const auto& call : std::exchange(held_calls_, {})) {
+    call();
   }
 }
 
@@ -93,12 +84,7 @@
 void ControlTask::send_forwarded() {
   is_forwarding_ = false;
   const ForwardedRegistrations said = forwarded_.take_unsent();
-  for (const auto& target : said.announced) {
-    log_announced(target);
-  }
-  for (const TargetLife& life : said.ended) {
-    log_ended(life);
-  }
+  log_said(said.announced, said.ended);
   node_->forward(said);
 }
 
@@ -108,7 +94,12 @@
   forwarded_.follow_leader(replica.is_leader() ? config_.address : node_->other_leader(now));
 }
 
-void ControlTask::queue_registration(SteeringCallback callback) {
+void ControlTask::queue_registration(const ForwardedCalls::Said& said, SteeringCallback callback) {
+  if (const auto* announced = std::get_if<RegisteredTarget>(&said)) {
+    registrations_.announced.push_back(*announced);
+  } else {
+    registrations_.ended.push_back(std::get<TargetLife>(said));
+  }
   registration_callbacks_.push_back(std::move(callback));
   if (registration_callbacks_.size() == 1) {
     loop_.post([this] { propose_registrations(); });
@@ -117,27 +108,24 @@
 
 void ControlTask::propose_registrations() {
   const RegistrationCommand command = std::exchange(registrations_, {});
-  for (const auto& target : command.announced) {
-    log_announced(target);
-  }
-  for (const TargetLife& life : command.ended) {
-    log_ended(life);
-  }
+  log_said(command.announced, command.ended);
   wait_for(node_->propose(command, monotonic_now()), std::exchange(registration_callbacks_, {}),
            std::monostate{});
 }
 
-void ControlTask::log_announced(const RegisteredTarget& target) const {
-  log_event(LogEvent::kTargetAnnounced, {{"target", target.id},
-                                         {"pool", target.pool},
-                                         {"phase", static_cast<int>(target.phase)},
-                                         {"started_at_ms", target.started_at_ms},
-                                         {"sequence", target.sequence}});
-  log_restart(target);
-}
-
-void ControlTask::log_ended(const TargetLife& life) {
-  log_event(LogEvent::kTargetEnded, {{"target", life.id}, {"started_at_ms", life.started_at_ms}});
+void ControlTask::log_said(const std::vector<RegisteredTarget>& announced,
+                           const std::vector<TargetLife>& ended) const {
+  for (const auto& target : announced) {
+    log_event(LogEvent::kTargetAnnounced, {{"target", target.id},
+                                           {"pool", target.pool},
+                                           {"phase", static_cast<int>(target.phase)},
+                                           {"started_at_ms", target.started_at_ms},
+                                           {"sequence", target.sequence}});
+    log_restart(target);
+  }
+  for (const TargetLife& life : ended) {
+    log_event(LogEvent::kTargetEnded, {{"target", life.id}, {"started_at_ms", life.started_at_ms}});
+  }
 }
 
 void ControlTask::log_restart(const RegisteredTarget& announced) const {
--- a/src/tasks/forwarded_calls.h
+++ b/src/tasks/forwarded_calls.h
@@ -22,7 +22,6 @@
   static constexpr std::size_t kMaxWaiting = 4096;
 
   [[nodiscard]] bool is_full() const { return waiting_.size() >= kMaxWaiting; }
-  [[nodiscard]] std::size_t waiting() const { return waiting_.size(); }
   /// Keeps a call until it is decided; `decide_again` is what to do with it when the leader
   /// changes.
   void add(Said said, SteeringCallback callback, std::function<void()> decide_again,
--- a/src/tasks/metrics.cc
+++ b/src/tasks/metrics.cc
@@ -5,7 +5,6 @@
 #include "tasks/log.h"
 
 namespace gorsevalve {
-namespace {
 
 MetricSample counter(std::string name, std::string help, std::uint64_t value) {
   return {"gorsevalve_" + std::move(name) + "_total",
@@ -15,6 +14,8 @@
           {}};
 }
 
+namespace {
+
 MetricSample gauge(std::string name, std::string help, double value) {
   return {"gorsevalve_" + std::move(name), std::move(help), value, false, {}};
 }
--- a/src/tasks/metrics.h
+++ b/src/tasks/metrics.h
@@ -1,6 +1,7 @@
 /// Metrics in the Prometheus text format, through prometheus-cpp.
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -21,6 +22,9 @@
   std::string reason{};
 };
 
+/// A counter of the product: `name` without the prefix and the ending that all counters have.
+MetricSample counter(std::string name, std::string help, std::uint64_t value);
+
 /// The counters of a balancer as samples.
 std::vector<MetricSample> to_samples(const BalancerCounters& counters);
 
--- a/tests/unit/control_cluster.h
+++ b/tests/unit/control_cluster.h
@@ -96,6 +96,14 @@
     return 0;
   }
 
+  /// Runs until a replica leads; gives its number.
+  std::uint32_t elect() {
+    run(std::chrono::seconds(3));
+    const std::uint32_t elected = leader();
+    REQUIRE(elected != 0);
+    return elected;
+  }
+
   ControlNode& node(std::uint32_t i) { return *nodes_[i]; }
   Output& output(std::uint32_t i) { return outputs_[i]; }
   [[nodiscard]] Instant now() const { return now_; }
--- a/tests/unit/test_control_node.cc
+++ b/tests/unit/test_control_node.cc
@@ -21,9 +21,7 @@
     // Found on large/ccsc-valve-large, day trouble-1: with nine revisions a second one balancer
     // stayed behind for 9 s, since each later update counted as under way and did not fit.
     Cluster cluster;
-    cluster.run(std::chrono::seconds(3));
-    const std::uint32_t leader = cluster.leader();
-    REQUIRE(leader != 0);
+    const std::uint32_t leader = cluster.elect();
     FollowingBalancer balancer(cluster);
     Duration longest_behind{0};
     Duration behind{0};
@@ -45,9 +43,7 @@
 
   TEST_CASE("a balancer whose updates all get lost says so and asks again, boundedly") {
     Cluster cluster;
-    cluster.run(std::chrono::seconds(3));
-    const std::uint32_t leader = cluster.leader();
-    REQUIRE(leader != 0);
+    const std::uint32_t leader = cluster.elect();
     FollowingBalancer balancer(cluster);
     for (int turn = 0; turn < 100; ++turn) {
       cluster.run(milliseconds(20));
@@ -75,9 +71,7 @@
   TEST_CASE("followers answer for what is committed and report it; news goes to the leader") {
     // Measured by a sweep: with all announcements at the leader, 3,000 targets took all of it.
     Cluster cluster;
-    cluster.run(std::chrono::seconds(3));
-    const std::uint32_t leader = cluster.leader();
-    REQUIRE(leader != 0);
+    const std::uint32_t leader = cluster.elect();
     const std::uint32_t follower = leader == 1 ? 2 : 1;
     CHECK(cluster.node(follower).hear(announce(1), cluster.now()) == AnnouncementStatus::kForward);
     REQUIRE(cluster.node(leader).hear(announce(1), cluster.now()) == AnnouncementStatus::kNews);
@@ -100,9 +94,7 @@
     // Before: each target was sent to the leader, which then had the connections of all of them.
     for (const TargetId targets : {50U, 100U, 200U}) {
       Cluster cluster;
-      cluster.run(std::chrono::seconds(3));
-      const std::uint32_t leader = cluster.leader();
-      REQUIRE(leader != 0);
+      const std::uint32_t leader = cluster.elect();
       const LogIndex before = cluster.node(leader).replica().commit_index();
       for (std::uint32_t i = 1; i <= 3; ++i) {
         if (i == leader) {
@@ -130,9 +122,7 @@
 
   TEST_CASE("a follower forwards ends, and answers for those that are committed") {
     Cluster cluster;
-    cluster.run(std::chrono::seconds(3));
-    const std::uint32_t leader = cluster.leader();
-    REQUIRE(leader != 0);
+    const std::uint32_t leader = cluster.elect();
     const std::uint32_t follower = leader == 1 ? 2 : 1;
     REQUIRE(register_target(cluster.node(leader), announce(1).id, cluster.now()));
     cluster.run(milliseconds(200));
@@ -151,9 +141,7 @@
 
   TEST_CASE("a replica without a leader forwards nothing") {
     Cluster cluster;
-    cluster.run(std::chrono::seconds(3));
-    const std::uint32_t leader = cluster.leader();
-    REQUIRE(leader != 0);
+    const std::uint32_t leader = cluster.elect();
     const std::uint32_t follower = leader == 1 ? 2 : 1;
     cluster.frozen = leader;
     cluster.lost_to[6 - leader - follower] = true;
@@ -165,9 +153,7 @@
 
   TEST_CASE("a target that starts again under its id is news, and its late copies are no sign") {
     Cluster cluster;
-    cluster.run(std::chrono::seconds(3));
-    const std::uint32_t leader = cluster.leader();
-    REQUIRE(leader != 0);
+    const std::uint32_t leader = cluster.elect();
     const std::uint32_t follower = leader == 1 ? 2 : 1;
     const auto announce_life = [](TargetStart start, std::uint64_t sequence) {
       RegisteredTarget target = announce(sequence);
@@ -210,9 +196,7 @@
 
   TEST_CASE("a target that one balancer saw refuse is told to those of all replicas at once") {
     Cluster cluster;
-    cluster.run(std::chrono::seconds(3));
-    const std::uint32_t leader = cluster.leader();
-    REQUIRE(leader != 0);
+    const std::uint32_t leader = cluster.elect();
     REQUIRE(register_target(cluster.node(leader), announce(1).id, cluster.now()));
     cluster.run(milliseconds(200));
     const FlowToken token = cluster.node(leader).state().fleet().steering.targets.at(5).token;
@@ -267,9 +251,7 @@
 
   TEST_CASE("an update that many balancers need is made once") {
     Cluster cluster;
-    cluster.run(std::chrono::seconds(3));
-    const std::uint32_t leader = cluster.leader();
-    REQUIRE(leader != 0);
+    const std::uint32_t leader = cluster.elect();
     REQUIRE(register_target(cluster.node(leader), 5, cluster.now()));
     cluster.run(milliseconds(200));
     cluster.output(leader).shared.clear();
@@ -291,9 +273,7 @@
 
   TEST_CASE("a whole state is not sent again while it is under way, and is when it was lost") {
     Cluster cluster;
-    cluster.run(std::chrono::seconds(3));
-    const std::uint32_t leader = cluster.leader();
-    REQUIRE(leader != 0);
+    const std::uint32_t leader = cluster.elect();
     REQUIRE(register_target(cluster.node(leader), announce(1).id, cluster.now()));
     cluster.run(milliseconds(100));
     NodeHeartbeat heartbeat;
