--- a/scripts/ablation.py
+++ b/scripts/ablation.py
@@ -33,6 +33,8 @@
     "pressure": "pressure_exponent=0",
     "nearness": "near_preference=1",
     "samples of large pools": "sample=0",
+    "probes of refusals": "refusal_probes=0",
+    "looks around": "looks_around=0",
 }
 
 
--- a/src/codec/envelope.cc
+++ b/src/codec/envelope.cc
@@ -13,7 +13,7 @@
 namespace {
 
 constexpr std::array<std::uint8_t, 3> kMagic = {'G', 'V', 'M'};
-constexpr std::uint8_t kVersion = 8;
+constexpr std::uint8_t kVersion = 9;
 /// Set in the type of a message whose body is compressed.
 constexpr std::uint8_t kCompressed = 0x80;
 constexpr std::size_t kHeaderSize = 36;
--- a/src/core/balancer/control_client.cc
+++ b/src/core/balancer/control_client.cc
@@ -69,6 +69,8 @@
     on_update(from, *update, now);
   } else if (const auto* figures = std::get_if<TargetFigures>(&message)) {
     take_figures(*figures);
+  } else if (const auto* refusing = std::get_if<RefusingTargets>(&message)) {
+    output_.on_refusing(*refusing, now);
   }
 }
 
--- a/src/core/balancer/control_client.h
+++ b/src/core/balancer/control_client.h
@@ -61,6 +61,8 @@
   virtual std::vector<TargetObservation> take_observations() { return {}; }
   /// What all balancers saw of targets; in place of what was told before.
   virtual void on_figures(const std::vector<TargetFigure>& /*figures*/) {}
+  /// Balancers were refused by targets just now.
+  virtual void on_refusing(const RefusingTargets& /*refusing*/, Instant /*now*/) {}
   /// This balancer's place among all of them; told with each answer, a count of 0 while unknown.
   virtual void on_place(const BalancerPlace& /*place*/, Instant /*now*/) {}
   /// A replica that is current and holds this revision is followed from now on.
--- a/src/core/control/control_node.cc
+++ b/src/core/control/control_node.cc
@@ -106,6 +106,8 @@
   }
   const HeartbeatReply reply = reply_to(heartbeat, now);
   board_.add(heartbeat.observations, now);
+  refusals_.on_observed(from, heartbeat.member.zone, heartbeat.observations, now);
+  relay_refusals(now);
   output_.send_node(from, reply);
   if (reply.is_current) {
     waiting_nodes_.erase(from);
@@ -154,15 +156,39 @@
   }
   const auto shared = std::make_shared<const NodeMessage>(figures_);
   if (replica_->is_leader()) {
-    for (const auto& replica : replica_->replicas().replicas) {
-      if (replica.id != replica_->id()) {
-        output_.send_shared(replica.address, shared);
-      }
-    }
+    send_to_replicas(shared);
   }
   publisher_.send_to_all(shared);
 }
 
+void ControlNode::send_to_replicas(const SharedNodeMessage& message) {
+  for (const auto& replica : replica_->replicas().replicas) {
+    if (replica.id != replica_->id()) {
+      output_.send_shared(replica.address, message);
+    }
+  }
+}
+
+void ControlNode::handle(const Endpoint& from, const RefusingTargets& told, Instant now) {
+  const auto& replicas = replica_->replicas().replicas;
+  const bool is_replica = std::any_of(replicas.begin(), replicas.end(),
+                                      [&](const auto& replica) { return replica.address == from; });
+  if (is_replica) {
+    refusals_.on_told(told, now);
+    relay_refusals(now);
+  }
+}
+
+void ControlNode::relay_refusals(Instant now) {
+  const RefusalRelay::Due due = refusals_.take_due(now);
+  for (const auto& message : due.to_replicas) {
+    send_to_replicas(std::make_shared<const NodeMessage>(message));
+  }
+  for (const auto& message : due.to_balancers) {
+    publisher_.send_to_all(std::make_shared<const NodeMessage>(message));
+  }
+}
+
 std::optional<TargetFigures> ControlNode::figures_after(std::uint64_t edition) const {
   return edition == figures_.edition ? std::nullopt : std::optional(figures_);
 }
@@ -304,6 +330,7 @@
     was_leader_ = false;
     report_to_leader(now);
   }
+  relay_refusals(now);
   nodes_.drop_older(now, kNodeMemory);
   publisher_.drop_silent(now);
   publisher_.push(now);
--- a/src/core/control/control_node.h
+++ b/src/core/control/control_node.h
@@ -15,6 +15,7 @@
 #include "core/control/membership.h"
 #include "core/control/node_messages.h"
 #include "core/control/node_registry.h"
+#include "core/control/refusal_relay.h"
 #include "core/control/registration_monitor.h"
 #include "core/control/replica.h"
 #include "core/control/update_publisher.h"
@@ -150,6 +151,11 @@
   void lead_registrations(Instant now);
   void handle(const Endpoint& from, const TargetFigures& figures, Instant now);
   void handle(const Endpoint& from, const ForwardedRegistrations& said, Instant now);
+  void handle(const Endpoint& from, const RefusingTargets& told, Instant now);
+  /// Passes on which targets refuse probes.
+  void relay_refusals(Instant now);
+  /// Sends something to all other replicas.
+  void send_to_replicas(const SharedNodeMessage& message);
   /// Proposes what followers have forwarded since the last tick, as one entry.
   void propose_forwarded(Instant now);
   /// Concludes what balancers should know of each other's observations.
@@ -175,6 +181,7 @@
   Instant next_conclusion_;
   BalancerPlaces places_;
   FigureBoard board_;
+  RefusalRelay refusals_;
   TargetFigures figures_;
   Instant figures_at_;
   /// A target that this follower heard.
--- a/src/core/control/figure_board.cc
+++ b/src/core/control/figure_board.cc
@@ -23,6 +23,10 @@
 /// How long a target stays troubled after the last evidence: longer than a flapping target stays
 /// up.
 constexpr Duration kTroubledFor = std::chrono::seconds(5);
+/// A target whose probes are refused over this time is not full for a moment.
+constexpr Duration kRefusingFor = std::chrono::milliseconds(400);
+/// Refusals that are further apart than this are of two moments.
+constexpr Duration kRefusingPause = std::chrono::seconds(1);
 /// Sums that nothing was added to for this long are dropped.
 constexpr Duration kForgottenAfter = std::chrono::seconds(60);
 /// Pressures within this many percent of the usual one are not told.
@@ -56,6 +60,14 @@
   sums.unanswered *= trouble_left;
 }
 
+bool FigureBoard::note_refused_probes(Sums& sums, Instant now) {
+  if (!sums.refusing_since || now - sums.refusing_at > kRefusingPause) {
+    sums.refusing_since = now;
+  }
+  sums.refusing_at = now;
+  return now - *sums.refusing_since >= kRefusingFor;
+}
+
 void FigureBoard::add(const std::vector<TargetObservation>& observations, Instant now) {
   for (const auto& seen : observations) {
     Sums& sums = sums_[seen.token];
@@ -67,15 +79,17 @@
     // One refusal tells enough; packets without an answer may have been lost on their way.
     const bool is_silent =
         sums.unanswered >= kSilentCount && sums.unanswered >= kSilentShare * sums.openings;
-    if (seen.refused > 0 || (seen.unanswered > 0 && is_silent)) {
+    const bool is_refusing = seen.refusing > 0 && note_refused_probes(sums, now);
+    if (seen.refused > 0 || is_refusing || (seen.unanswered > 0 && is_silent)) {
       sums.troubled_until = now + kTroubledFor;
     }
     if (seen.unreachable > 0) {
       sums.troubled_until = now + kTroubledFor;
       sums.unreachable_until = now + kTroubledFor;
     }
-    has_trouble_ =
-        has_trouble_ || seen.refused + seen.unanswered + seen.stalled + seen.unreachable > 0;
+    const std::uint32_t troubles =
+        seen.refused + seen.unanswered + seen.stalled + seen.unreachable + seen.refusing;
+    has_trouble_ = has_trouble_ || troubles > 0;
     TargetObservation& fresh = fresh_[seen.token];
     fresh.token = seen.token;
     fresh.requests += seen.requests;
@@ -84,6 +98,7 @@
     fresh.refused += seen.refused;
     fresh.unanswered += seen.unanswered;
     fresh.unreachable += seen.unreachable;
+    fresh.refusing += seen.refusing;
   }
 }
 
--- a/src/core/control/figure_board.h
+++ b/src/core/control/figure_board.h
@@ -35,11 +35,16 @@
     double openings = 0;
     double unanswered = 0;
     Instant at;
+    /// Since when probes are refused, without a pause that would tell of a target that was full.
+    std::optional<Instant> refusing_since;
+    Instant refusing_at;
     Instant troubled_until;
     Instant unreachable_until;
   };
 
   static void decay(Sums& sums, Instant now);
+  /// Notes refused probes; true when they show that nothing listens there any more.
+  static bool note_refused_probes(Sums& sums, Instant now);
   /// Drops what was seen of targets before they started again.
   void forget_earlier_lives(const SteeringState& state);
   /// Finds targets whose requests stall while those of the rest of their pool do not.
--- a/src/core/control/node_messages.h
+++ b/src/core/control/node_messages.h
@@ -159,7 +159,8 @@
 };
 
 /// Any message between balancers and replicas about the fleet.
-using NodeMessage = std::variant<NodeHeartbeat, HeartbeatReply, FleetUpdate, ReplicaReport,
-                                 ReportReply, TargetFigures, ForwardedRegistrations>;
+using NodeMessage =
+    std::variant<NodeHeartbeat, HeartbeatReply, FleetUpdate, ReplicaReport, ReportReply,
+                 TargetFigures, ForwardedRegistrations, RefusingTargets>;
 
 }  // namespace gorsevalve
--- /dev/null
+++ b/src/core/steering/answer_times.cc
@@ -0,0 +1,37 @@
+#include "core/steering/answer_times.h"
+
+namespace gorsevalve {
+namespace {
+
+/// Share of a new sample in the smoothed time: a balancer sees some ten answers in the half second
+/// in which queues fill.
+constexpr double kShare = 0.2;
+/// Answers that are older than this tell nothing of the queues of now.
+constexpr Duration kLifetime = std::chrono::seconds(2);
+/// Work without a queue takes less than this, with a full queue more.
+constexpr double kPromptUs = 100e3;
+
+}  // namespace
+
+void AnswerTimes::on_answer(const std::string& pool, Duration took, Instant now) {
+  const auto found = pools_.find(pool);
+  if (found == pools_.end()) {
+    return;
+  }
+  Estimate& estimate = found->second;
+  const auto sample_us = static_cast<double>(took.count());
+  const bool is_fresh = now - estimate.at < kLifetime;
+  estimate.mean_us =
+      is_fresh ? estimate.mean_us + kShare * (sample_us - estimate.mean_us) : sample_us;
+  estimate.at = now;
+}
+
+Promptness AnswerTimes::promptness(const std::string& pool, Instant now) const {
+  const auto found = pools_.find(pool);
+  if (found == pools_.end() || now - found->second.at >= kLifetime) {
+    return Promptness::kUnknown;
+  }
+  return found->second.mean_us < kPromptUs ? Promptness::kPrompt : Promptness::kSlow;
+}
+
+}  // namespace gorsevalve
--- a/src/core/steering/flow_observation.cc
+++ b/src/core/steering/flow_observation.cc
@@ -7,9 +7,6 @@
 namespace gorsevalve {
 namespace {
 
-/// When a first opening packet is followed by nothing for this long, not even by a copy, which
-/// callers send after 200 ms, the caller was told that there is no flow.
-constexpr Duration kRefusedAfter = std::chrono::milliseconds(300);
 /// A request without an answer for this long has stalled: longer than a queue of a target that
 /// works, and than a lost packet takes.
 constexpr Duration kStalledAfter = std::chrono::milliseconds(400);
@@ -55,7 +52,7 @@
     }
   }
   if (entry.request_since && answered) {
-    scores_.on_answer(entry.target, now - *entry.request_since, now);
+    on_answer(entry.target, now - *entry.request_since, now);
     end_request(entry);
   }
   if (packet.data_size > 0 && entry.request_since) {
@@ -109,6 +106,7 @@
   FlowEntry* entry = flows_.find(packet.flow);
   // A flow that was open before it came here says nothing of its target.
   const bool opened_here = entry != nullptr && entry->phase == FlowPhase::kOpening;
+  const Instant opening_at = entry == nullptr ? now : entry->last_seen;
   if (entry != nullptr && entry->target != target) {
     remove_load(*entry);
     entry->target = target;
@@ -137,8 +135,7 @@
     entry->phase = FlowPhase::kOpen;
     entry->acknowledged = packet.acknowledged;
     if (opened_here) {
-      scores_.on_opened(target);
-      reachability_.on_progress(target, now);
+      on_opened(*entry, opening_at, now);
     }
   }
   note_request(*entry, packet, now);
@@ -149,21 +146,6 @@
   }
 }
 
-void FlowSteering::check_openings(Instant now) {
-  while (!openings_.empty() && now - openings_.front().at >= kRefusedAfter) {
-    const Expectation& opening = openings_.front();
-    const FlowEntry* entry = opening.is_met ? nullptr : flows_.find(opening.flow);
-    const bool is_refused = entry != nullptr && entry->phase == FlowPhase::kOpening &&
-                            entry->target == opening.target && !entry->has_copy &&
-                            !may_be_own_link(opening.at);
-    if (is_refused) {
-      scores_.on_refused(opening.target, now);
-    }
-    openings_.pop_front();
-    late_openings_ -= std::min<std::size_t>(late_openings_, 1);
-  }
-}
-
 void FlowSteering::check_requests(Instant now) {
   while (!requests_.empty() && now - requests_.front().at >= kStalledAfter) {
     const Expectation& request = requests_.front();
@@ -181,6 +163,7 @@
 }
 
 void FlowSteering::check_expectations(Instant now) {
+  check_overdue(now);
   check_late(now);
   check_openings(now);
   check_requests(now);
--- a/src/core/steering/flow_placement.cc
+++ b/src/core/steering/flow_placement.cc
@@ -19,8 +19,10 @@
   kUnknownAge = 1,
   /// Silent, or seen in trouble.
   kTroubled = 2,
+  /// It has just refused a probe.
+  kRefusing = 3,
   /// It certainly cannot be reached from here.
-  kUnreachable = 3,
+  kUnreachable = 4,
 };
 
 /// How good a target is for a new flow; the least one is chosen.
@@ -53,6 +55,9 @@
   if (inputs.reachability.is_unreachable(target.id) || inputs.zone_paths.is_cut(target.id)) {
     return Doubt::kUnreachable;
   }
+  if (inputs.refusals.is_refusing(target.id, now)) {
+    return Doubt::kRefusing;
+  }
   const bool is_troubled = target.phase != TargetPhase::kReady ||
                            inputs.scores.is_suspected(target.id, now) ||
                            (inputs.zone_paths.is_returning() &&
--- a/src/core/steering/flow_placement.h
+++ b/src/core/steering/flow_placement.h
@@ -11,6 +11,7 @@
 #include "core/steering/steering_policy.h"
 #include "core/steering/steering_view.h"
 #include "core/steering/target_reachability.h"
+#include "core/steering/target_refusals.h"
 #include "core/steering/target_scores.h"
 #include "core/steering/warm_up_budget.h"
 #include "core/steering/zone_paths.h"
@@ -29,6 +30,7 @@
   const SteeringView& view;
   const TargetScores& scores;
   const TargetReachability& reachability;
+  const TargetRefusals& refusals;
   /// Counts what it keeps from cold targets.
   WarmUpBudget& warm_up;
   const ZonePaths& zone_paths;
--- a/src/core/steering/flow_steering.cc
+++ b/src/core/steering/flow_steering.cc
@@ -59,6 +59,7 @@
     // Before the first confirmed state the age of what is found is unknown.
     note_warm_up(target, is_confirmed_, now);
     zone_paths_.on_target(target);
+    prepare_times(target);
   }
   // A whole state does not tell who came first; but of two at an address the silent one is gone.
   for (const auto& [id, target] : state.targets) {
@@ -95,6 +96,7 @@
     scores_.on_target(target, now);
     note_warm_up(target, true, now);
     zone_paths_.on_target(target);
+    prepare_times(target);
     if (is_new && target.phase != TargetPhase::kEnded) {
       note_replaced(target, [](const RegisteredTarget& /*other*/) { return true; });
     }
@@ -103,6 +105,7 @@
     scores_.on_forgotten(id);
     warm_up_.forget(id);
     reachability_.forget(id);
+    refusals_.forget(id);
     zone_paths_.on_forgotten(id);
   }
   for (const auto& address : delta.removed_frontends) {
@@ -125,6 +128,7 @@
   forget_expected(openings_);
   forget_expected(requests_);
   reachability_.forget(target);
+  refusals_.forget(target);
   warm_up_.forget(target);
 }
 
@@ -139,6 +143,7 @@
   requests_.clear();
   late_openings_ = 0;
   late_requests_ = 0;
+  overdue_openings_ = 0;
 }
 
 void FlowSteering::set_link_congested(bool is_congested, Instant now) {
@@ -202,9 +207,9 @@
         suspect(entry->target, now);
       }
     }
-    const bool is_doubted = scores_.is_suspected(entry->target, now) ||
-                            reachability_.is_unreachable(entry->target) ||
-                            zone_paths_.is_cut(entry->target);
+    const bool is_doubted =
+        scores_.is_suspected(entry->target, now) || reachability_.is_unreachable(entry->target) ||
+        refusals_.is_refusing(entry->target, now) || zone_paths_.is_cut(entry->target);
     if (usable && packet.copies_before <= policy_.copies_at_same_target && !is_doubted) {
       return {SteeringAction::kForward, SteeringReason::kCopy, before};
     }
@@ -295,6 +300,8 @@
   std::vector<ProbeRequest> requests = zone_paths_.take_probes(now);
   const std::vector<ProbeRequest> single = reachability_.take_probes(now);
   requests.insert(requests.end(), single.begin(), single.end());
+  const std::vector<ProbeRequest> refusals = refusals_.take_probes(now);
+  requests.insert(requests.end(), refusals.begin(), refusals.end());
   for (const auto& request : requests) {
     const RegisteredTarget* target = view_.target_by_id(request.target);
     if (target == nullptr) {
--- a/src/core/steering/flow_steering.h
+++ b/src/core/steering/flow_steering.h
@@ -8,12 +8,15 @@
 #include <string>
 #include <utility>
 
+#include "core/steering/answer_times.h"
 #include "core/steering/caller_packet.h"
 #include "core/steering/flow_placement.h"
 #include "core/steering/flow_table.h"
+#include "core/steering/opening_times.h"
 #include "core/steering/steering_policy.h"
 #include "core/steering/steering_view.h"
 #include "core/steering/target_reachability.h"
+#include "core/steering/target_refusals.h"
 #include "core/steering/target_scores.h"
 #include "core/steering/warm_up_budget.h"
 #include "core/steering/zone_paths.h"
@@ -76,7 +79,12 @@
   /// `seed` makes balancers break ties differently; targets in `zone` are near.
   explicit FlowSteering(std::uint64_t seed, const std::string& zone = {},
                         const SteeringPolicy& policy = {})
-      : policy_(policy), placement_(seed, policy), scores_(zone, policy), zone_paths_(zone) {}
+      : policy_(policy),
+        seed_(seed),
+        zone_(zone),
+        placement_(seed, policy),
+        scores_(zone, policy),
+        zone_paths_(zone) {}
 
   /// Takes a newer state. Never called with an older one.
   void adopt(const SteeringState& state, Instant now);
@@ -97,6 +105,9 @@
   void on_tick(Instant now);
   /// Notes openings and requests that were not followed by what should follow. Often and cheap.
   void check_expectations(Instant now);
+  /// When `check_expectations` may next find an opening that nothing followed; nothing while none
+  /// is awaited.
+  [[nodiscard]] std::optional<Instant> next_expectation() const;
 
   /// Tells whether this machine's own link is so busy that packets and answers may be late or lost
   /// on it (LinkModel::is_congested). What does not come back then blames no target. To be told
@@ -110,6 +121,8 @@
   /// True when a target showed trouble since the last call of `take_observations`.
   [[nodiscard]] bool has_trouble() const { return scores_.has_trouble(); }
   void set_figures(const std::vector<TargetFigure>& figures, Instant now);
+  /// Other balancers were refused by these targets just now.
+  void on_refusing(const RefusingTargets& told, Instant now);
 
   /// This balancer's place among all of them; a count of 0 while it is not known.
   void set_place(const BalancerPlace& place, Instant now) { warm_up_.set_place(place, now); }
@@ -145,7 +158,7 @@
   [[nodiscard]] const ZonePaths& zone_paths() const { return zone_paths_; }
   /// True while probes are under way: take, conclude each `TargetReachability::kStepInterval`.
   [[nodiscard]] bool is_probing() const {
-    return reachability_.is_probing() || zone_paths_.is_looking();
+    return reachability_.is_probing() || zone_paths_.is_looking() || refusals_.is_probing();
   }
   [[nodiscard]] std::size_t unreachable_targets() const { return reachability_.unreachable(); }
 
@@ -177,7 +190,7 @@
   SteeringDecision open(const FrontendView& frontend, const CallerPacket& packet, Instant now);
   SteeringDecision follow(const FrontendView& frontend, const CallerPacket& packet, Instant now);
   [[nodiscard]] PlacementInputs inputs() {
-    return {view_, scores_, reachability_, warm_up_, zone_paths_};
+    return {view_, scores_, reachability_, refusals_, warm_up_, zone_paths_};
   }
   /// Bounds what a target takes while it is cold, where the operator set a rate.
   void note_warm_up(const RegisteredTarget& target, bool is_age_known, Instant now);
@@ -185,8 +198,14 @@
   /// have opened at the new life before this balancer heard of it, and the target itself refuses
   /// packets of the others.
   void end_life(TargetId target);
+  /// Makes room for what is measured of the target's pool and zone.
+  void prepare_times(const RegisteredTarget& target);
   void update_cold_rates();
   void note(const CallerPacket& packet, TargetId target, Instant now);
+  /// The target answered an opening; `sent_at` is when its last packet went there.
+  void on_opened(const FlowEntry& entry, Instant sent_at, Instant now);
+  /// The target answered a request.
+  void on_answer(TargetId target, Duration took, Instant now);
   void note_request(FlowEntry& entry, const CallerPacket& packet, Instant now);
   /// Notes data that the caller sends again since its target did not acknowledge it.
   void note_repeat(FlowEntry& entry, const CallerPacket& packet, Instant now);
@@ -214,12 +233,27 @@
   /// Notes that those others at the target's address that the condition names are gone.
   template <typename Condition>
   void note_replaced(const RegisteredTarget& target, Condition is_gone);
+  /// When nothing but an answer would have kept an opening from being overdue.
+  [[nodiscard]] Instant overdue_at(const Expectation& opening) const;
+  /// True when a refusal of the target shows that nothing listens there: it is not full.
+  [[nodiscard]] bool is_known_prompt(TargetId target, Instant now) const;
+  /// A target refused a probe, of this balancer or of one whose word counts here.
+  void on_refusal(const RegisteredTarget& target, Instant now);
+  /// Probes some targets of the own zone, now and then: where one has ended, others often have at
+  /// the same moment, and each would else refuse callers until it is found out by itself.
+  void look_around(Instant now);
+  /// Into how many parts a zone's targets are divided for this, one for each balancer that looks.
+  [[nodiscard]] std::uint64_t parts_to_look_at() const;
+  /// Probes targets whose openings are overdue.
+  void check_overdue(Instant now);
   void check_openings(Instant now);
   void check_requests(Instant now);
   void end_request(FlowEntry& entry);
   void remove_load(const FlowEntry& entry);
 
   SteeringPolicy policy_;
+  std::uint64_t seed_;
+  std::string zone_;
   FlowPlacement placement_;
   bool is_confirmed_ = false;
   /// What happened before tells nothing of targets.
@@ -234,13 +268,20 @@
   std::optional<Instant> congested_at_;
   TargetScores scores_;
   TargetReachability reachability_;
+  OpeningTimes opening_times_;
+  AnswerTimes answer_times_;
+  TargetRefusals refusals_;
   WarmUpBudget warm_up_;
   ZonePaths zone_paths_;
   std::vector<TargetId> cooled_;
   /// How many of `openings_` and `requests_`, from the front, `check_late` has seen.
   std::size_t late_openings_ = 0;
   std::size_t late_requests_ = 0;
+  /// How many of `openings_`, from the front, `check_overdue` has seen.
+  std::size_t overdue_openings_ = 0;
   Instant check_late_at_;
+  /// No look around before this.
+  Instant look_around_at_;
   /// When flows into zones that are cut off were ended last.
   Instant flows_ended_at_;
   SteeringFaults faults_;
--- a/src/core/steering/flow_steering_zones.cc
+++ b/src/core/steering/flow_steering_zones.cc
@@ -59,22 +59,6 @@
   }
 }
 
-void FlowSteering::on_probe_answer(std::uint64_t number, ProbeAnswer answer, Instant now) {
-  if (number > ZonePaths::kFirstProbe) {
-    zone_paths_.on_answer(number, answer, now);
-  } else {
-    reachability_.on_answer(number, answer, now);
-  }
-}
-
-void FlowSteering::on_probe_not_sent(std::uint64_t number, Instant now) {
-  if (number > ZonePaths::kFirstProbe) {
-    zone_paths_.on_not_sent(number, now);
-  } else {
-    reachability_.on_not_sent(number, now);
-  }
-}
-
 std::vector<ZonePathChange> FlowSteering::conclude_zone_paths(bool is_link_congested, Instant now) {
   std::vector<ZonePathChange> changes = zone_paths_.conclude(is_link_congested, now);
   for (const auto& change : changes) {
--- a/src/core/steering/steering_policy.h
+++ b/src/core/steering/steering_policy.h
@@ -24,6 +24,10 @@
   double stalls = 1;
   /// 1: targets that seem dead are probed, and flows at those that are get reset.
   double probes = 1;
+  /// 1: targets whose openings are overdue are probed, and refusals are told to others at once.
+  double refusal_probes = 1;
+  /// 1: where a target refuses, other targets of its zone are probed as well.
+  double looks_around = 1;
   /// Loads within one step count as equal, so that figures of all balancers can decide.
   double load_step = 1;
   /// A request under way weighs as much as this many open flows.
--- a/src/core/steering/target_scores.cc
+++ b/src/core/steering/target_scores.cc
@@ -190,6 +190,11 @@
   has_trouble_ = true;
 }
 
+void TargetScores::on_refused_probe(TargetId id) {
+  ++unreported(id).refusing;
+  has_trouble_ = true;
+}
+
 void TargetScores::on_unreachable(TargetId id, Instant now) {
   ++unreported(id).unreachable;
   TargetScore& score = at(id);
--- a/src/core/steering/target_scores.h
+++ b/src/core/steering/target_scores.h
@@ -66,6 +66,8 @@
   void on_unanswered(TargetId id, Instant now);
   /// The target told a caller that it takes no flow.
   void on_refused(TargetId id, Instant now);
+  /// The target refused a probe.
+  void on_refused_probe(TargetId id);
   /// Probes showed that the target cannot be reached from here.
   void on_unreachable(TargetId id, Instant now);
   void on_request(TargetId id);
--- a/src/model/target_figures.h
+++ b/src/model/target_figures.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <cstdint>
+#include <string>
 #include <vector>
 
 #include "model/steering.h"
@@ -25,12 +26,14 @@
   std::uint32_t unanswered = 0;
   /// How often the balancer concluded from probes that it cannot reach the target.
   std::uint32_t unreachable = 0;
+  /// Probes that the target refused: it takes no flow just now.
+  std::uint32_t refusing = 0;
 
   friend bool operator==(const TargetObservation&, const TargetObservation&) = default;
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive& token& requests& stalled& openings& refused& unanswered& unreachable;
+    archive& token& requests& stalled& openings& refused& unanswered& unreachable& refusing;
   }
 };
 
@@ -71,4 +74,17 @@
   }
 };
 
+/// Targets that refused probes of balancers in one zone just now. Where paths are cut, something on
+/// the way may refuse in a target's place, so it counts for balancers in that zone, and for all
+/// where it is the target's own.
+struct RefusingTargets {
+  std::string zone;
+  std::vector<FlowToken> targets;
+
+  template <class Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    archive& zone& targets;
+  }
+};
+
 }  // namespace gorsevalve
--- a/src/tasks/log_events.h
+++ b/src/tasks/log_events.h
@@ -50,6 +50,7 @@
   kLeaderSilent,
   kReplicaSet,
   kTargetsTroubled,
+  kTargetsRefusing,
   kTargetUnreachable,
   kTargetReachable,
   kLinkBusy,
@@ -159,6 +160,10 @@
          "Balancers saw these targets, and no others, refuse flows or leave packets unanswered; "
          "they "
          "get new flows only where there is nothing better."},
+        {LogEvent::kTargetsRefusing, "targets_refusing", LogLevel::kInfo, LogClass::kState,
+         "Targets have just refused probes of balancers in `zone`: those in this zone, and those "
+         "in "
+         "the targets' own, place new flows elsewhere for half a second."},
         {LogEvent::kTargetUnreachable, "target_unreachable", LogLevel::kWarning, LogClass::kState,
          "Probes of the target came to nothing while another target answered: its open flows were "
          "reset."},
--- a/src/tasks/steering_task.cc
+++ b/src/tasks/steering_task.cc
@@ -14,11 +14,15 @@
 constexpr Duration kTickInterval = milliseconds(250);
 /// Tick while the first state is awaited.
 constexpr Duration kStartTickInterval = milliseconds(100);
+/// Timers count milliseconds.
+constexpr Duration kLeastWait = milliseconds(1);
 constexpr ControlClientTiming kControlTiming{milliseconds(500), milliseconds(800),
                                              kStartTickInterval};
 /// Routers need this long to turn away; after it a stop waits for silence only.
 constexpr Duration kTurnAwayTime = milliseconds(1500);
 constexpr Duration kSilenceBeforeStop = milliseconds(700);
+/// Pause between two reports of something urgent: what many callers meet at once goes together.
+constexpr Duration kUrgentPause = milliseconds(20);
 /// Age of the state that is worth a line: three pauses between heartbeats.
 constexpr Duration kUnconfirmedLogged = milliseconds(1500);
 
@@ -54,6 +58,10 @@
       link_(config_.link_octets_per_s),
       prober_(loop, [this](std::uint64_t number, ProbeAnswer answer) {
         steering_.on_probe_answer(number, answer, monotonic_now());
+        probe_soon(monotonic_now());
+        if (steering_.has_trouble()) {
+          report_soon();
+        }
       }) {
   control_.set_timing(kControlTiming);
 }
@@ -99,6 +107,40 @@
   if (steering_.is_probing() && !steps_probes_) {
     look_after_targets(now);
   }
+  if (packet->opens) {
+    check_expectations_later(now);
+  }
+}
+
+void SteeringTask::check_expectations(Instant now) {
+  steering_.check_expectations(now);
+  probe_soon(now);
+  if (steering_.has_trouble()) {
+    report_soon();
+  }
+  check_expectations_later(now);
+}
+
+void SteeringTask::probe_soon(Instant now) {
+  if (steering_.is_probing() && steps_probes_) {
+    // What is due now does not wait for the next step.
+    send_probes(now);
+  } else if (steering_.is_probing()) {
+    look_after_targets(now);
+  }
+}
+
+void SteeringTask::check_expectations_later(Instant now) {
+  const std::optional<Instant> next = steering_.next_expectation();
+  if (checks_later_ || !next) {
+    return;
+  }
+  checks_later_ = true;
+  const Duration wait = std::max<Duration>(*next - now, kLeastWait);
+  loop_.after(wait, [this] {
+    checks_later_ = false;
+    check_expectations(monotonic_now());
+  });
 }
 
 bool SteeringTask::decide(const CallerPacket& packet, ByteView datagram, Instant now) {
@@ -123,13 +165,17 @@
   socket_->send(format_.reset_destination(reset), datagram);
 }
 
-void SteeringTask::look_after_targets(Instant now) {
+void SteeringTask::send_probes(Instant now) {
   steering_.set_link_congested(link_.model().is_congested(now), now);
   for (const auto& probe : steering_.take_probes(now)) {
     if (!prober_.send(probe.number, probe.address)) {
       steering_.on_probe_not_sent(probe.number, now);
     }
   }
+}
+
+void SteeringTask::look_after_targets(Instant now) {
+  send_probes(now);
   judge_zone_paths(now);
   const std::vector<UnreachableTarget> unreachable = steering_.conclude_reachability(now);
   for (const auto& one : unreachable) {
@@ -151,7 +197,21 @@
 void SteeringTask::report_soon() {
   // Others with flows there should look for themselves soon. The control client may be up the
   // stack, with an answer that it has not noted yet: it goes on in the next turn.
-  loop_.post([this] { control_.on_tick(0, monotonic_now()); });
+  if (reports_soon_) {
+    return;
+  }
+  reports_soon_ = true;
+  const auto report = [this] {
+    reports_soon_ = false;
+    reported_at_ = monotonic_now();
+    control_.on_tick(0, reported_at_);
+  };
+  const Duration rest = reported_at_ + kUrgentPause - monotonic_now();
+  if (rest > Duration::zero()) {
+    loop_.after(rest, report);
+  } else {
+    loop_.post(report);
+  }
 }
 
 void SteeringTask::step_probes() {
@@ -201,6 +261,13 @@
   look_after_targets(now);
 }
 
+void SteeringTask::on_refusing(const RefusingTargets& refusing, Instant now) {
+  steering_.on_refusing(refusing, now);
+  probe_soon(now);
+  log_event(LogEvent::kTargetsRefusing,
+            {{"zone", refusing.zone}, {"targets", refusing.targets.size()}});
+}
+
 void SteeringTask::release_held(Instant now) {
   if (held_.size() == 0) {
     return;
--- a/src/tasks/steering_task.h
+++ b/src/tasks/steering_task.h
@@ -102,11 +102,17 @@
   /// Writes a line while packets have to wait, at most one for each kLinkLogInterval.
   void log_busy_link(Duration waited, Instant now);
   void send_reset(const FlowReset& reset);
+  void send_probes(Instant now);
+  /// Sends probes that are due, also between two steps.
+  void probe_soon(Instant now);
   /// Probes targets that seem dead, each few milliseconds while there are any.
   void look_after_targets(Instant now);
   void step_probes();
-  /// Reports to the chosen replica in the next turn.
+  /// Reports to the chosen replica in the next turn, or after the pause between two such reports.
   void report_soon();
+  /// Looks at what should have been followed by something, and does so again when more is due.
+  void check_expectations(Instant now);
+  void check_expectations_later(Instant now);
   void on_unreachable(const UnreachableTarget& unreachable);
   /// Concludes about paths to zones, and ends the flows into those that are cut off.
   void judge_zone_paths(Instant now);
@@ -131,6 +137,7 @@
     return steering_.take_observations();
   }
   void on_figures(const std::vector<TargetFigure>& figures) override;
+  void on_refusing(const RefusingTargets& refusing, Instant now) override;
   void on_place(const BalancerPlace& place, Instant now) override {
     steering_.set_place(place, now);
   }
@@ -159,6 +166,9 @@
   Instant link_logged_at_;
   TargetProber prober_;
   bool steps_probes_ = false;
+  bool checks_later_ = false;
+  bool reports_soon_ = false;
+  Instant reported_at_;
   SteeringCounters counters_;
   Instant last_packet_;
   std::optional<Instant> stop_since_;
--- /dev/null
+++ b/tests/sim/test_refusal_workload.cc
@@ -0,0 +1,461 @@
+/// The load that core/steering/target_refusals and core/control/refusal_relay answer: many targets
+/// end at one moment, or are full for a while, under callers that try three times, each time at
+/// another balancer. Balancers of three zones steer by the product's own code; a replica in each
+/// zone passes on what they tell, and a leader concludes figures, with the delays between zones.
+/// Checked is what callers get, with the mechanism and without it.
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <array>
+#include <functional>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "core/control/figure_board.h"
+#include "core/control/refusal_relay.h"
+#include "core/steering/flow_steering.h"
+
+namespace gorsevalve {
+namespace {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Instant kStart{seconds(1000)};
+constexpr Duration kStep = milliseconds(1);
+constexpr Endpoint kFrontend{0xC6120001, 443};
+constexpr std::size_t kZones = 3;
+constexpr std::size_t kBalancersPerZone = 12;
+constexpr TargetId kTargets = 60;
+/// New callers in a millisecond, so that a target gets five a second, as on a heavy day.
+constexpr double kCallersPerStep = 0.3;
+constexpr int kTries = 3;
+/// What a caller waits before it tries again, and when it gives an opening up.
+constexpr Duration kTryAgainAfter = milliseconds(3);
+constexpr Duration kGivenUpAfter = milliseconds(1400);
+constexpr std::array<Duration, 2> kCopies = {milliseconds(200), milliseconds(600)};
+/// From a request to its answer.
+constexpr Duration kWork = milliseconds(30);
+constexpr Duration kProbeStep = TargetReachability::kStepInterval;
+constexpr Duration kTick = milliseconds(250);
+constexpr Duration kFiguresPause = milliseconds(100);
+
+enum class TargetState { kLives, kFull, kGone };
+
+std::string zone_name(std::size_t zone) { return "zone-" + std::string(1, char('a' + zone)); }
+
+Duration one_way(std::size_t from, std::size_t to) {
+  return from == to ? microseconds(200) : microseconds(1400);
+}
+
+struct Caller {
+  std::size_t zone = 0;
+  std::uint16_t port = 0;
+  std::uint32_t address = 0;
+  std::size_t balancer = 0;
+  int tries = 0;
+  Instant asked_at;
+  /// When the present try began, and what happens to it next.
+  Instant tried_at;
+  std::size_t copies = 0;
+  TargetId target = 0;
+  std::optional<Instant> opens_at;
+  std::optional<Instant> tries_again_at;
+};
+
+/// What callers got.
+struct Outcome {
+  int asked = 0;
+  int served = 0;
+  /// Not served since each try was refused.
+  int refused = 0;
+  /// The same, of those who asked later than the bound after the targets ended.
+  int refused_late = 0;
+  /// Served, after more than 100 ms.
+  int slow = 0;
+  int placed_at_gone = 0;
+  /// From the end of the targets to the last flow that was placed at one of them.
+  Duration last_placed_after{0};
+  std::uint64_t probes = 0;
+  std::uint64_t messages = 0;
+  std::size_t flows_ended = 0;
+};
+
+/// The time within which all balancers should go round a target that has ended.
+constexpr Duration kKnownWithin = milliseconds(80);
+
+class Workload {
+ public:
+  Workload(std::uint64_t seed, const SteeringPolicy& policy) : random_(seed) {
+    SteeringState state;
+    state.settings.version = 1;
+    state.settings.idle_timeout_ms = 60000;
+    state.settings.frontends.push_back({"f", kFrontend, {{"alpha", 1}}, {}, 2500, 250});
+    for (TargetId id = 1; id <= kTargets; ++id) {
+      RegisteredTarget target;
+      target.id = id;
+      target.token = static_cast<FlowToken>(100 + id);
+      target.pool = "alpha";
+      target.address = {10, static_cast<std::uint16_t>(8000 + id)};
+      target.slots = 2;
+      target.zone = zone_name(zone_of(id));
+      state.put(target);
+    }
+    state_ = state;
+    balancers_.reserve(kZones * kBalancersPerZone);
+    for (std::size_t i = 0; i < kZones * kBalancersPerZone; ++i) {
+      balancers_.emplace_back(seed * 100 + i, zone_name(i / kBalancersPerZone), policy);
+      balancers_.back().adopt(state, now_);
+      balancers_.back().confirm(now_);
+      balancers_.back().set_place({static_cast<std::uint32_t>(i), kZones * kBalancersPerZone},
+                                  now_);
+    }
+  }
+
+  /// From `at` on, a third of all targets are in this state, until `until`.
+  void make_trouble(TargetState trouble, Duration at, Duration until) {
+    trouble_ = trouble;
+    trouble_at_ = kStart + at;
+    trouble_until_ = kStart + until;
+  }
+  /// Something on the way from one zone to another refuses in place of targets there.
+  void cut_with_refusals(std::size_t from, std::size_t to) { refused_paths_ = {{from, to}}; }
+
+  /// A deliberate fault: what one zone's balancers tell counts for all.
+  void tell_all_zones() { tells_all_zones_ = true; }
+
+  Outcome run(Duration time) {
+    while (now_ < kStart + time) {
+      now_ += kStep;
+      deliver();
+      if (std::uniform_real_distribution<double>(0, 1)(random_) < kCallersPerStep) {
+        ask();
+      }
+      for (auto& caller : callers_) {
+        step(caller);
+      }
+      std::erase_if(callers_, [](const Caller& caller) { return caller.tries > kTries; });
+      for (std::size_t i = 0; i < balancers_.size(); ++i) {
+        step_balancer(i);
+      }
+      step_control();
+    }
+    return outcome_;
+  }
+
+  /// Shares of the flows that a zone's balancers placed at targets of a zone since the last call.
+  int take_placed(std::size_t from, std::size_t to) {
+    return std::exchange(placed_[{from, to}], 0);
+  }
+
+ private:
+  struct Event {
+    Instant at;
+    std::function<void()> action;
+  };
+
+  static std::size_t zone_of(TargetId target) { return target % kZones; }
+  static std::size_t zone_of_balancer(std::size_t i) { return i / kBalancersPerZone; }
+
+  [[nodiscard]] TargetState state_of(TargetId target) const {
+    const bool is_in_trouble = (target / kZones) % 3 == 0 && now_ >= trouble_at_;
+    return is_in_trouble && now_ < trouble_until_ ? trouble_ : TargetState::kLives;
+  }
+
+  [[nodiscard]] bool is_path_refused(std::size_t balancer, TargetId target) const {
+    return std::any_of(refused_paths_.begin(), refused_paths_.end(), [&](const auto& path) {
+      return path.first == zone_of_balancer(balancer) && path.second == zone_of(target);
+    });
+  }
+
+  void later(Duration delay, std::function<void()> action) {
+    events_.push_back({now_ + delay, std::move(action)});
+  }
+
+  void deliver() {
+    std::vector<Event> due;
+    std::erase_if(events_, [&](Event& event) {
+      const bool is_due = event.at <= now_;
+      if (is_due) {
+        due.push_back(std::move(event));
+      }
+      return is_due;
+    });
+    for (auto& event : due) {
+      event.action();
+    }
+  }
+
+  void ask() {
+    Caller caller;
+    caller.zone = random_() % kZones;
+    caller.address = 0x64400000 + ++last_caller_;
+    caller.asked_at = now_;
+    ++outcome_.asked;
+    try_again(caller);
+    callers_.push_back(caller);
+  }
+
+  void try_again(Caller& caller) {
+    caller.tries_again_at.reset();
+    caller.opens_at.reset();
+    if (++caller.tries > kTries) {
+      ++outcome_.refused;
+      outcome_.refused_late += caller.asked_at > trouble_at_ + kKnownWithin ? 1 : 0;
+      return;
+    }
+    caller.port = static_cast<std::uint16_t>(4000 + caller.tries);
+    caller.balancer = caller.zone * kBalancersPerZone + random_() % kBalancersPerZone;
+    caller.tried_at = now_;
+    caller.copies = 0;
+    send_opening(caller);
+  }
+
+  void send_opening(Caller& caller) {
+    CallerPacket packet;
+    packet.flow = {{caller.address, caller.port}, kFrontend};
+    packet.opens = true;
+    packet.copies_before = static_cast<std::uint32_t>(caller.copies);
+    const SteeringDecision decision = balancers_[caller.balancer].on_packet(packet, now_);
+    if (decision.action != SteeringAction::kForward) {
+      caller.tries_again_at = now_ + kTryAgainAfter;
+      return;
+    }
+    caller.target = decision.target->id;
+    const std::size_t zone = zone_of(caller.target);
+    ++placed_[{caller.zone, zone}];
+    const TargetState state = state_of(caller.target);
+    const Duration round_trip = milliseconds(2) + 2 * one_way(caller.zone, zone);
+    if (state == TargetState::kGone || is_path_refused(caller.balancer, caller.target)) {
+      ++outcome_.placed_at_gone;
+      outcome_.last_placed_after = now_ - trouble_at_;
+      caller.tries_again_at = now_ + kTryAgainAfter;
+    } else if (state == TargetState::kLives && !caller.opens_at) {
+      caller.opens_at = now_ + round_trip;
+    }
+  }
+
+  void step(Caller& caller) {
+    if (caller.tries > kTries) {
+      return;
+    }
+    if (caller.opens_at && now_ >= *caller.opens_at) {
+      finish(caller);
+    } else if (caller.tries_again_at && now_ >= *caller.tries_again_at) {
+      try_again(caller);
+    } else if (now_ - caller.tried_at >= kGivenUpAfter) {
+      try_again(caller);
+    } else if (!caller.tries_again_at && caller.copies < kCopies.size() &&
+               now_ - caller.tried_at >= kCopies[caller.copies]) {
+      ++caller.copies;
+      send_opening(caller);
+    }
+  }
+
+  /// The flow is open; its caller is served, and closes it.
+  void finish(Caller& caller) {
+    CallerPacket packet;
+    packet.flow = {{caller.address, caller.port}, kFrontend};
+    packet.token = static_cast<FlowToken>(100 + caller.target);
+    packet.acknowledged = 1;
+    packet.data_size = 100;
+    balancers_[caller.balancer].on_packet(packet, now_);
+    packet.data_size = 0;
+    packet.acknowledged = 501;
+    packet.closes = true;
+    later(kWork, [this, balancer = caller.balancer, packet] {
+      balancers_[balancer].on_packet(packet, now_);
+    });
+    ++outcome_.served;
+    outcome_.slow += now_ - caller.asked_at > milliseconds(100) ? 1 : 0;
+    caller.tries = kTries + 1;
+  }
+
+  void step_balancer(std::size_t i) {
+    FlowSteering& balancer = balancers_[i];
+    const auto next = balancer.next_expectation();
+    const bool is_due = (next && now_ >= *next) || (now_ - kStart) % kTick == kStep * (i + 1);
+    if (is_due) {
+      balancer.check_expectations(now_);
+    }
+    const bool steps = balancer.is_probing() && (is_due || (now_ - kStart) % kProbeStep == kStep);
+    if (steps) {
+      probe(i);
+    }
+    if (balancer.has_trouble()) {
+      report(i);
+    }
+  }
+
+  void probe(std::size_t i) {
+    for (const auto& probe : balancers_[i].take_probes(now_)) {
+      ++outcome_.probes;
+      const auto id = static_cast<TargetId>(probe.address.port - 8000);
+      const bool accepts = state_of(id) == TargetState::kLives && !is_path_refused(i, id);
+      const ProbeAnswer answer = accepts ? ProbeAnswer::kAccepted : ProbeAnswer::kRefused;
+      later(2 * one_way(zone_of_balancer(i), zone_of(id)), [this, i, probe, answer] {
+        balancers_[i].on_probe_answer(probe.number, answer, now_);
+        this->probe(i);
+      });
+    }
+    for (const auto& concluded : balancers_[i].conclude_reachability(now_)) {
+      outcome_.flows_ended += balancers_[i].end_flows_at(concluded.target).size();
+    }
+  }
+
+  void report(std::size_t i) {
+    const std::size_t zone = zone_of_balancer(i);
+    const std::vector<TargetObservation> seen = balancers_[i].take_observations();
+    later(one_way(zone, zone), [this, i, zone, seen] {
+      relays_[zone].on_observed({static_cast<std::uint32_t>(i), 6000}, zone_name(zone), seen, now_);
+      later(one_way(zone, 0), [this, seen] { board_.add(seen, now_); });
+    });
+  }
+
+  [[nodiscard]] RefusingTargets as_told(RefusingTargets message, std::size_t zone) const {
+    if (tells_all_zones_) {
+      message.zone = zone_name(zone);
+    }
+    return message;
+  }
+
+  void step_control() {
+    for (std::size_t zone = 0; zone < kZones; ++zone) {
+      const RefusalRelay::Due due = relays_[zone].take_due(now_);
+      for (const auto& message : due.to_replicas) {
+        for (std::size_t other = 0; other < kZones; ++other) {
+          if (other != zone) {
+            ++outcome_.messages;
+            later(one_way(zone, other),
+                  [this, other, message] { relays_[other].on_told(message, now_); });
+          }
+        }
+      }
+      for (const auto& message : due.to_balancers) {
+        for (std::size_t i = 0; i < kBalancersPerZone; ++i) {
+          ++outcome_.messages;
+          later(one_way(zone, zone), [this, zone, i, message] {
+            balancers_[zone * kBalancersPerZone + i].on_refusing(as_told(message, zone), now_);
+            probe(zone * kBalancersPerZone + i);
+          });
+        }
+      }
+    }
+    if (board_.has_trouble() && now_ - figures_at_ >= kFiguresPause) {
+      figures_at_ = now_;
+      tell_figures(board_.conclude(state_, now_));
+    }
+  }
+
+  void tell_figures(const std::vector<TargetFigure>& figures) {
+    for (std::size_t i = 0; i < balancers_.size(); ++i) {
+      later(one_way(0, zone_of_balancer(i)),
+            [this, i, figures] { balancers_[i].set_figures(figures, now_); });
+    }
+  }
+
+  std::mt19937_64 random_;
+  Instant now_ = kStart;
+  SteeringState state_;
+  std::vector<FlowSteering> balancers_;
+  std::array<RefusalRelay, kZones> relays_;
+  FigureBoard board_;
+  Instant figures_at_ = kStart;
+  std::vector<Event> events_;
+  std::vector<Caller> callers_;
+  std::uint32_t last_caller_ = 0;
+  TargetState trouble_ = TargetState::kLives;
+  Instant trouble_at_ = Instant::max();
+  Instant trouble_until_ = Instant::max();
+  std::vector<std::pair<std::size_t, std::size_t>> refused_paths_;
+  bool tells_all_zones_ = false;
+  std::map<std::pair<std::size_t, std::size_t>, int> placed_;
+  Outcome outcome_;
+};
+
+SteeringPolicy without_refusal_probes() {
+  SteeringPolicy policy;
+  policy.refusal_probes = 0;
+  return policy;
+}
+
+/// What callers get over some seeds, together.
+Outcome play(const SteeringPolicy& policy, TargetState trouble, Duration until) {
+  Outcome sum;
+  for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+    Workload workload(seed, policy);
+    workload.make_trouble(trouble, seconds(4), seconds(4) + until);
+    const Outcome one = workload.run(seconds(8));
+    sum.asked += one.asked;
+    sum.served += one.served;
+    sum.refused += one.refused;
+    sum.refused_late += one.refused_late;
+    sum.slow += one.slow;
+    sum.placed_at_gone += one.placed_at_gone;
+    sum.last_placed_after = std::max(sum.last_placed_after, one.last_placed_after);
+    sum.probes += one.probes;
+    sum.messages += one.messages;
+  }
+  return sum;
+}
+
+void print(const std::string& name, const Outcome& outcome) {
+  MESSAGE(name << ": asked " << outcome.asked << ", refused three times " << outcome.refused
+               << " (of these later than 80 ms " << outcome.refused_late << "), slow "
+               << outcome.slow << ", placed at ended targets " << outcome.placed_at_gone
+               << ", the last after " << outcome.last_placed_after / milliseconds(1)
+               << " ms, probes " << outcome.probes << ", messages " << outcome.messages);
+}
+
+}  // namespace
+
+TEST_SUITE("refusal_workload") {
+  TEST_CASE("when a third of all targets end at once, callers are soon refused no more") {
+    const Outcome before = play(without_refusal_probes(), TargetState::kGone, seconds(4));
+    const Outcome after = play({}, TargetState::kGone, seconds(4));
+    print("without probes of refusals", before);
+    print("with them", after);
+    CHECK(after.refused_late == 0);
+    CHECK(after.placed_at_gone * 3 <= before.placed_at_gone);
+    CHECK(after.refused * 3 <= before.refused);
+  }
+
+  TEST_CASE("when a third of all targets are full for a second, nobody fares worse") {
+    const Outcome before = play(without_refusal_probes(), TargetState::kFull, seconds(1));
+    const Outcome after = play({}, TargetState::kFull, seconds(1));
+    print("without probes of refusals", before);
+    print("with them", after);
+    CHECK(after.refused == 0);
+    CHECK(after.slow <= before.slow);
+  }
+
+  TEST_CASE("refusals on the way to a zone keep no other zone's flows away from it") {
+    Workload before(3, without_refusal_probes());
+    Workload after(3, {});
+    for (Workload* workload : {&before, &after}) {
+      workload->cut_with_refusals(0, 1);
+      workload->run(seconds(2));
+    }
+    // What figures of openings tell reaches all zones, with the mechanism and without it.
+    CHECK(after.take_placed(1, 1) * 20 >= before.take_placed(1, 1) * 19);
+    CHECK(after.take_placed(2, 1) * 20 >= before.take_placed(2, 1) * 19);
+  }
+
+  TEST_CASE("a zone whose targets are believed to refuse by another zone's word is caught") {
+    // The deliberate fault: refusals on the way to a zone are told as if the zone itself said so.
+    Workload workload(3, {});
+    workload.cut_with_refusals(0, 1);
+    workload.tell_all_zones();
+    workload.run(seconds(2));
+    Workload sound(3, {});
+    sound.cut_with_refusals(0, 1);
+    sound.run(seconds(2));
+    CHECK(workload.take_placed(2, 1) * 20 < sound.take_placed(2, 1) * 19);
+  }
+}
+
+}  // namespace gorsevalve
--- a/tests/unit/test_control_node.cc
+++ b/tests/unit/test_control_node.cc
@@ -226,6 +226,50 @@
     }
   }
 
+  TEST_CASE("a refused probe is told to the balancers of all replicas, also without a leader") {
+    Cluster cluster;
+    for (std::uint32_t i = 1; i <= 3; ++i) {
+      NodeHeartbeat heartbeat;
+      heartbeat.member.address = {100 + i, 6000};
+      heartbeat.member.state = MemberState::kObserver;
+      cluster.node(i).on_node_message({100 + i, 6000}, heartbeat, cluster.now());
+    }
+    REQUIRE(cluster.leader() == 0);
+    NodeHeartbeat heartbeat;
+    heartbeat.member.address = {102, 6000};
+    heartbeat.member.zone = "zone-b";
+    heartbeat.member.state = MemberState::kObserver;
+    TargetObservation seen;
+    seen.token = 7;
+    seen.refusing = 1;
+    heartbeat.observations.push_back(seen);
+    cluster.node(2).on_node_message({102, 6000}, heartbeat, cluster.now());
+    cluster.run(milliseconds(60));
+    for (std::uint32_t i = 1; i <= 3; ++i) {
+      int told = 0;
+      for (const auto& [to, message] : cluster.output(i).to_nodes) {
+        const auto* refusing = std::get_if<RefusingTargets>(&message);
+        const bool names_it = refusing != nullptr && refusing->zone == "zone-b" &&
+                              refusing->targets == std::vector<FlowToken>{7};
+        told += to == Endpoint{100 + i, 6000} && names_it ? 1 : 0;
+      }
+      CHECK(told == 1);
+    }
+  }
+
+  TEST_CASE("what somebody who is no replica tells of refusals is not passed on") {
+    Cluster cluster;
+    NodeHeartbeat heartbeat;
+    heartbeat.member.address = {101, 6000};
+    heartbeat.member.state = MemberState::kObserver;
+    cluster.node(1).on_node_message({101, 6000}, heartbeat, cluster.now());
+    cluster.node(1).on_node_message({101, 6000}, RefusingTargets{"zone-b", {7}}, cluster.now());
+    cluster.run(milliseconds(60));
+    for (const auto& [to, message] : cluster.output(1).to_nodes) {
+      CHECK_FALSE(std::holds_alternative<RefusingTargets>(message));
+    }
+  }
+
   TEST_CASE("a replica tells those who asked too early when it is current") {
     Cluster cluster;
     NodeHeartbeat heartbeat;
--- a/tests/unit/test_figure_board.cc
+++ b/tests/unit/test_figure_board.cc
@@ -56,6 +56,25 @@
     CHECK_FALSE(is_troubled(board, state, 2, kStart + seconds(6)));
   }
 
+  TEST_CASE("probes refused over some time make a target troubled, those of one moment do not") {
+    const SteeringState state = pool_of(3);
+    const auto troubled_after = [&](const std::vector<int>& refused_at_ms) {
+      FigureBoard board;
+      for (const int at : refused_at_ms) {
+        TargetObservation seen;
+        seen.token = 2;
+        seen.refusing = 1;
+        board.add({seen}, kStart + milliseconds(at));
+        CHECK(board.has_trouble());
+      }
+      return is_troubled(board, state, 2, kStart + milliseconds(refused_at_ms.back() + 1));
+    };
+    CHECK_FALSE(troubled_after({0, 1, 2}));
+    CHECK(troubled_after({0, 250, 500}));
+    // A target that is full now and then.
+    CHECK_FALSE(troubled_after({0, 1200, 2400}));
+  }
+
   TEST_CASE("a target that one balancer cannot reach is told of, before all others") {
     FigureBoard board;
     const SteeringState state = pool_of(400);
--- a/tests/unit/test_flow_steering.cc
+++ b/tests/unit/test_flow_steering.cc
@@ -57,6 +57,12 @@
   return packet;
 }
 
+/// A flow that was open before gets an answer from target 2 within 20 ms.
+void answer_promptly(FlowSteering& steering, Instant now) {
+  steering.on_packet(later(9000, 102, 1, 100), now - milliseconds(20));
+  steering.on_packet(later(9000, 102, 501), now);
+}
+
 /// A balancer with the given state.
 struct SteeringBalancer {
   explicit SteeringBalancer(const SteeringState& state) {
@@ -335,6 +341,102 @@
     CHECK_FALSE(test.steering.has_trouble());
   }
 
+  TEST_CASE("an overdue opening leads to a probe, whose refusal keeps new flows away at once") {
+    SteeringBalancer test(make_state({{"alpha", 1}}, {target(1, "alpha"), target(2, "alpha")}));
+    Instant now = kStart + seconds(2);
+    answer_promptly(test.steering, now);
+    const TargetId down = test.steering.on_packet(opening(1), now).target->id;
+    REQUIRE(test.steering.next_expectation() == now + OpeningTimes::kMost);
+    now += OpeningTimes::kMost;
+    CHECK_FALSE(test.steering.is_probing());
+    test.steering.check_expectations(now);
+    const auto probes = test.steering.take_probes(now);
+    REQUIRE(probes.size() == 1);
+    CHECK(probes[0].address == target(down, "alpha").address);
+    test.steering.on_probe_answer(probes[0].number, ProbeAnswer::kRefused, now + milliseconds(2));
+    CHECK(test.steering.has_trouble());
+    for (std::uint16_t port = 10; port < 30; ++port) {
+      CHECK(test.steering.on_packet(opening(port), now + milliseconds(3)).target->id != down);
+    }
+    for (const auto& seen : test.steering.take_observations()) {
+      CHECK(seen.refusing == (seen.token == 100 + down ? 1 : 0));
+      CHECK(seen.refused == 0);
+    }
+  }
+
+  TEST_CASE("a full target is avoided while it refuses, and no longer") {
+    SteeringBalancer test(make_state({{"alpha", 1}}, {target(1, "alpha"), target(2, "alpha")}));
+    Instant now = kStart + seconds(2);
+    answer_promptly(test.steering, now);
+    const TargetId full = test.steering.on_packet(opening(1), now).target->id;
+    now += OpeningTimes::kMost;
+    test.steering.check_expectations(now);
+    const auto first = test.steering.take_probes(now);
+    REQUIRE(first.size() == 1);
+    test.steering.on_probe_answer(first[0].number, ProbeAnswer::kRefused, now);
+    // It said nothing to the caller, whose copy meets another target.
+    now += milliseconds(100);
+    CHECK(test.steering.on_packet(opening(1, 1), now).target->id != full);
+    now += milliseconds(200);
+    test.steering.check_expectations(now);
+    for (const auto& probe : test.steering.take_probes(now)) {
+      test.steering.on_probe_answer(probe.number, ProbeAnswer::kAccepted, now);
+    }
+    for (const auto& seen : test.steering.take_observations()) {
+      CHECK(seen.refused == 0);
+    }
+    bool is_used = false;
+    for (std::uint16_t port = 10; port < 30; ++port) {
+      is_used = is_used || test.steering.on_packet(opening(port), now).target->id == full;
+    }
+    CHECK(is_used);
+  }
+
+  TEST_CASE("where answers take long, a target that lets an opening wait may be full: no probe") {
+    SteeringBalancer test(make_state({{"alpha", 1}}, {target(1, "alpha"), target(2, "alpha")}));
+    const Instant now = kStart + seconds(2);
+    test.steering.on_packet(later(9000, 102, 1, 100), now - milliseconds(300));
+    test.steering.on_packet(later(9000, 102, 501), now);
+    test.steering.on_packet(opening(1), now);
+    test.steering.check_expectations(now + OpeningTimes::kMost);
+    CHECK(test.steering.take_probes(now + OpeningTimes::kMost).empty());
+    // Nor is what others tell believed.
+    test.steering.on_refusing({"", {101}}, now);
+    bool is_used = false;
+    for (std::uint16_t port = 10; port < 30; ++port) {
+      is_used = is_used || test.steering.on_packet(opening(port), now).target->id == 1;
+    }
+    CHECK(is_used);
+  }
+
+  TEST_CASE("what others tell of refusals counts from the own zone and from the target's") {
+    SteeringState state = make_state({{"alpha", 1}}, {target(1, "alpha"), target(2, "alpha")});
+    state.targets.at(1).zone = "zone-b";
+    state.targets.at(2).zone = "zone-b";
+    for (const auto& [teller, counts] :
+         {std::pair<std::string, bool>{"zone-a", true}, {"zone-b", true}, {"zone-c", false}}) {
+      FlowSteering steering(7, "zone-a");
+      steering.adopt(state, kStart);
+      steering.confirm(kStart);
+      steering.on_refusing({teller, {101, 999}}, kStart);
+      bool is_used = false;
+      for (std::uint16_t port = 10; port < 40; ++port) {
+        is_used = is_used || steering.on_packet(opening(port), kStart).target->id == 1;
+      }
+      CHECK(is_used == !counts);
+    }
+  }
+
+  TEST_CASE("an opening that the own link keeps back leads to no probe") {
+    SteeringBalancer test(make_state({{"alpha", 1}}, {target(1, "alpha"), target(2, "alpha")}));
+    const Instant now = kStart + seconds(2);
+    answer_promptly(test.steering, now);
+    test.steering.set_link_congested(true, now);
+    test.steering.on_packet(opening(1), now);
+    test.steering.check_expectations(now + OpeningTimes::kMost);
+    CHECK(test.steering.take_probes(now + OpeningTimes::kMost).empty());
+  }
+
   TEST_CASE("a request without an answer is told, unless it may have gone on elsewhere") {
     // Found on the bench: balancers that had just started blamed targets for the answers to packets
     // that were held at the start.
--- /dev/null
+++ b/tests/unit/test_target_refusals.cc
@@ -0,0 +1,122 @@
+#include <doctest/doctest.h>
+
+#include "core/steering/target_refusals.h"
+#include "core/steering/zone_paths.h"
+
+namespace gorsevalve {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Instant kStart{seconds(1000)};
+constexpr TargetId kTarget = 7;
+
+/// Sends what is due and gives each probe the same answer.
+std::size_t answer_all(TargetRefusals& refusals, ProbeAnswer answer, Instant now) {
+  const auto probes = refusals.take_probes(now);
+  for (const auto& probe : probes) {
+    refusals.on_answer(probe.number, answer, now + milliseconds(2));
+  }
+  return probes.size();
+}
+
+}  // namespace
+
+TEST_SUITE("target_refusals") {
+  TEST_CASE("an overdue opening leads to one probe, and a refusal keeps new flows away at once") {
+    TargetRefusals refusals;
+    refusals.on_overdue(kTarget, kStart);
+    refusals.on_overdue(kTarget, kStart);
+    const auto probes = refusals.take_probes(kStart);
+    REQUIRE(probes.size() == 1);
+    CHECK(probes[0].target == kTarget);
+    CHECK(probes[0].number > TargetRefusals::kFirstProbe);
+    CHECK(probes[0].number < ZonePaths::kFirstProbe);
+    CHECK_FALSE(refusals.is_refusing(kTarget, kStart));
+    refusals.on_answer(probes[0].number, ProbeAnswer::kRefused, kStart + milliseconds(2));
+    CHECK(refusals.is_refusing(kTarget, kStart + milliseconds(2)));
+    CHECK(refusals.take_refused() == std::vector<TargetId>{kTarget});
+    CHECK(refusals.take_refused().empty());
+  }
+
+  TEST_CASE("a target that takes probes is not avoided, and not probed again for a while") {
+    TargetRefusals refusals;
+    refusals.on_overdue(kTarget, kStart);
+    CHECK(answer_all(refusals, ProbeAnswer::kAccepted, kStart) == 1);
+    CHECK_FALSE(refusals.is_refusing(kTarget, kStart + milliseconds(3)));
+    CHECK_FALSE(refusals.is_probing());
+    refusals.on_overdue(kTarget, kStart + milliseconds(500));
+    CHECK(answer_all(refusals, ProbeAnswer::kAccepted, kStart + milliseconds(500)) == 0);
+    refusals.on_overdue(kTarget, kStart + milliseconds(1100));
+    CHECK(answer_all(refusals, ProbeAnswer::kAccepted, kStart + milliseconds(1100)) == 1);
+  }
+
+  TEST_CASE("silence tells nothing here") {
+    TargetRefusals refusals;
+    refusals.on_overdue(kTarget, kStart);
+    CHECK(refusals.take_probes(kStart).size() == 1);
+    CHECK(refusals.take_probes(kStart + milliseconds(300)).empty());
+    CHECK_FALSE(refusals.is_refusing(kTarget, kStart + milliseconds(300)));
+    CHECK_FALSE(refusals.is_probing());
+  }
+
+  TEST_CASE("a target that is gone is avoided without a gap until the figures tell of it") {
+    TargetRefusals refusals;
+    refusals.on_overdue(kTarget, kStart);
+    std::size_t probes = 0;
+    for (Duration passed{0}; passed < milliseconds(900); passed += milliseconds(25)) {
+      probes += answer_all(refusals, ProbeAnswer::kRefused, kStart + passed);
+      CHECK(refusals.is_refusing(kTarget, kStart + passed + milliseconds(3)));
+    }
+    CHECK(probes == 3);
+    CHECK_FALSE(refusals.is_refusing(kTarget, kStart + milliseconds(1100)));
+  }
+
+  TEST_CASE("a full target that takes a probe again is used again at once") {
+    TargetRefusals refusals;
+    refusals.on_overdue(kTarget, kStart);
+    answer_all(refusals, ProbeAnswer::kRefused, kStart);
+    answer_all(refusals, ProbeAnswer::kAccepted, kStart + milliseconds(275));
+    CHECK_FALSE(refusals.is_refusing(kTarget, kStart + milliseconds(278)));
+  }
+
+  TEST_CASE("what others tell ends by itself, and sooner when an opening is answered") {
+    TargetRefusals refusals;
+    refusals.on_told(kTarget, kStart);
+    CHECK(refusals.is_refusing(kTarget, kStart + milliseconds(499)));
+    CHECK_FALSE(refusals.is_refusing(kTarget, kStart + TargetRefusals::kHeldFor));
+    CHECK(refusals.take_probes(kStart).empty());
+    refusals.on_opened(kTarget, kStart - milliseconds(5));
+    CHECK(refusals.is_refusing(kTarget, kStart + milliseconds(1)));
+    refusals.on_opened(kTarget, kStart + milliseconds(5));
+    CHECK_FALSE(refusals.is_refusing(kTarget, kStart + milliseconds(6)));
+  }
+
+  TEST_CASE("probes at once are bounded, and one that could not be sent leaves nothing behind") {
+    TargetRefusals refusals;
+    for (TargetId id = 1; id <= 1000; ++id) {
+      refusals.on_overdue(id, kStart);
+    }
+    const auto probes = refusals.take_probes(kStart);
+    CHECK(probes.size() == TargetRefusals::kMaxCases);
+    for (const auto& probe : probes) {
+      refusals.on_not_sent(probe.number);
+    }
+    CHECK_FALSE(refusals.is_probing());
+    refusals.on_overdue(2000, kStart);
+    CHECK(refusals.take_probes(kStart).size() == 1);
+  }
+
+  TEST_CASE("nothing stays of a target that is forgotten") {
+    TargetRefusals refusals;
+    refusals.on_overdue(kTarget, kStart);
+    const auto probes = refusals.take_probes(kStart);
+    refusals.forget(kTarget);
+    refusals.on_answer(probes[0].number, ProbeAnswer::kRefused, kStart);
+    CHECK_FALSE(refusals.is_refusing(kTarget, kStart));
+    CHECK(refusals.take_refused().empty());
+  }
+}
+
+}  // namespace gorsevalve
