Refusals count only where a balancer knows what answers usually take; only refused probes are urgent

Cause: after a loss of all, queues fill while the first answers of a restarted balancer are still prompt, so full targets could count as ended ones; and the timer that looks for overdue openings told all other signs at once, too.

--- a/src/core/steering/flow_steering.cc
+++ b/src/core/steering/flow_steering.cc
@@ -8,6 +8,8 @@
 
 /// A balancer that has just started gets packets of flows that went on elsewhere meanwhile.
 constexpr Duration kObservationPause = std::chrono::seconds(1);
+/// It may have started with all others: queues fill while the first answers are still prompt.
+constexpr Duration kQueuesFillIn = std::chrono::seconds(3);
 /// Targets that are probed beside a suspected one: one of them may die at the same moment.
 constexpr std::size_t kReferences = 2;
 }  // namespace
@@ -135,6 +137,7 @@
 void FlowSteering::confirm(Instant now) {
   is_confirmed_ = true;
   observes_from_ = now + kObservationPause;
+  trusts_promptness_from_ = now + kQueuesFillIn;
 }
 
 void FlowSteering::stop_observing() {
--- a/src/core/steering/flow_steering.h
+++ b/src/core/steering/flow_steering.h
@@ -120,6 +120,9 @@
   }
   /// True when a target showed trouble since the last call of `take_observations`.
   [[nodiscard]] bool has_trouble() const { return scores_.has_trouble(); }
+  /// True when one refused a probe since then: others must know at once, while the rest may wait.
+  /// Openings and requests without an answer are no news where queues are full.
+  [[nodiscard]] bool has_refused_probe() const { return scores_.has_refused_probe(); }
   void set_figures(const std::vector<TargetFigure>& figures, Instant now);
   /// Other balancers were refused by these targets just now.
   void on_refusing(const RefusingTargets& told, Instant now);
@@ -235,8 +238,9 @@
   void note_replaced(const RegisteredTarget& target, Condition is_gone);
   /// When nothing but an answer would have kept an opening from being overdue.
   [[nodiscard]] Instant overdue_at(const Expectation& opening) const;
-  /// True when a refusal of the target shows that nothing listens there: it is not full.
-  [[nodiscard]] bool is_known_prompt(TargetId target, Instant now) const;
+  /// What answers of the target's pool tell of queues: where they are prompt, a target that refuses
+  /// is not full, so nothing listens there.
+  [[nodiscard]] Promptness promptness(const RegisteredTarget& target, Instant now) const;
   /// A target refused a probe, of this balancer or of one whose word counts here.
   void on_refusal(const RegisteredTarget& target, Instant now);
   /// Probes some targets of the own zone, now and then: where one has ended, others often have at
@@ -258,6 +262,8 @@
   bool is_confirmed_ = false;
   /// What happened before tells nothing of targets.
   Instant observes_from_;
+  /// Until then, how long answers take tells nothing of queues.
+  Instant trusts_promptness_from_;
   SteeringView view_;
   FlowTable flows_;
   /// Flows that were placed, and requests that began lately, in order.
--- a/src/core/steering/flow_steering_refusals.cc
+++ b/src/core/steering/flow_steering_refusals.cc
@@ -47,9 +47,9 @@
   }
 }
 
-bool FlowSteering::is_known_prompt(TargetId target, Instant now) const {
-  const RegisteredTarget* known = view_.target_by_id(target);
-  return known != nullptr && answer_times_.promptness(known->pool, now) == Promptness::kPrompt;
+Promptness FlowSteering::promptness(const RegisteredTarget& target, Instant now) const {
+  const bool may_be_told = now >= trusts_promptness_from_;
+  return may_be_told ? answer_times_.promptness(target.pool, now) : Promptness::kSlow;
 }
 
 Instant FlowSteering::overdue_at(const Expectation& opening) const {
@@ -78,8 +78,11 @@
     const FlowEntry* entry = opening.is_met ? nullptr : flows_.find(opening.flow);
     const bool is_overdue = entry != nullptr && entry->phase == FlowPhase::kOpening &&
                             entry->target == opening.target && !may_be_own_link(opening.at);
-    const bool may_probe = policy_.refusal_probes > 0 && !zone_paths_.is_cut(opening.target);
-    if (is_overdue && may_probe && is_known_prompt(opening.target, now)) {
+    const RegisteredTarget* target = view_.target_by_id(opening.target);
+    const bool may_probe = policy_.refusal_probes > 0 && target != nullptr &&
+                           !zone_paths_.is_cut(opening.target) &&
+                           promptness(*target, now) == Promptness::kPrompt;
+    if (is_overdue && may_probe) {
       refusals_.on_overdue(opening.target, now);
     }
   }
@@ -105,7 +108,7 @@
   for (const FlowToken token : told.targets) {
     const RegisteredTarget* target = view_.target(token);
     const bool counts = target != nullptr && (told.zone == zone_ || told.zone == target->zone);
-    if (counts && answer_times_.promptness(target->pool, now) != Promptness::kSlow) {
+    if (counts && promptness(*target, now) != Promptness::kSlow) {
       refusals_.on_told(target->id, now);
       on_refusal(*target, now);
     }
@@ -114,7 +117,7 @@
 
 void FlowSteering::on_refusal(const RegisteredTarget& target, Instant now) {
   const bool may_look = policy_.looks_around > 0 && target.zone == zone_;
-  if (may_look && now >= look_around_at_ && is_known_prompt(target.id, now)) {
+  if (may_look && now >= look_around_at_ && promptness(target, now) == Promptness::kPrompt) {
     look_around_at_ = now + kLookAroundPause;
     look_around(now);
   }
--- a/src/core/steering/target_scores.cc
+++ b/src/core/steering/target_scores.cc
@@ -102,6 +102,7 @@
   }
   to_report_.clear();
   has_trouble_ = false;
+  has_refused_probe_ = false;
   std::sort(result.begin(), result.end(),
             [](const auto& a, const auto& b) { return a.token < b.token; });
   return result;
@@ -193,6 +194,7 @@
 void TargetScores::on_refused_probe(TargetId id) {
   ++unreported(id).refusing;
   has_trouble_ = true;
+  has_refused_probe_ = true;
 }
 
 void TargetScores::on_unreachable(TargetId id, Instant now) {
--- a/src/core/steering/target_scores.h
+++ b/src/core/steering/target_scores.h
@@ -78,6 +78,8 @@
   /// What was seen since the last call.
   [[nodiscard]] std::vector<TargetObservation> take_observations();
   [[nodiscard]] bool has_trouble() const { return has_trouble_; }
+  /// True when a target refused a probe since the last call of `take_observations`.
+  [[nodiscard]] bool has_refused_probe() const { return has_refused_probe_; }
   /// Takes figures in place of all earlier ones. Gives the targets that some balancer could not
   /// reach by these figures, and by the earlier ones could.
   std::vector<TargetId> set_figures(const std::vector<TargetFigure>& figures);
@@ -128,6 +130,7 @@
   std::vector<TargetId> figured_;
   absl::flat_hash_map<FlowToken, TargetId> by_token_;
   bool has_trouble_ = false;
+  bool has_refused_probe_ = false;
   bool has_figures_ = false;
 };
 
--- a/src/tasks/steering_task.cc
+++ b/src/tasks/steering_task.cc
@@ -59,7 +59,7 @@
       prober_(loop, [this](std::uint64_t number, ProbeAnswer answer) {
         steering_.on_probe_answer(number, answer, monotonic_now());
         probe_soon(monotonic_now());
-        if (steering_.has_trouble()) {
+        if (steering_.has_refused_probe()) {
           report_soon();
         }
       }) {
@@ -115,7 +115,7 @@
 void SteeringTask::check_expectations(Instant now) {
   steering_.check_expectations(now);
   probe_soon(now);
-  if (steering_.has_trouble()) {
+  if (steering_.has_refused_probe()) {
     report_soon();
   }
   check_expectations_later(now);
