What tells that an opening is unanswered stands once; so does what counts as a prompt answer

Cause: on a last reading, the look for an opening that nothing followed stood three times (late, overdue, refused), and the bound of 100 ms below which answers show no queue twice. Each opening that was followed also looked up its target and its pool's answers before it was passed over.

Change: find_unanswered, AnswerTimes::kPromptUs; openings that were followed are passed over first. No behaviour changes, no test was touched.

Ruled out: a smaller interface of TargetRefusals (its tests would change).

--- a/src/core/steering/answer_times.cc
+++ b/src/core/steering/answer_times.cc
@@ -8,8 +8,6 @@
 constexpr double kShare = 0.2;
 /// Answers that are older than this tell nothing of the queues of now.
 constexpr Duration kLifetime = std::chrono::seconds(2);
-/// Work without a queue takes less than this, with a full queue more.
-constexpr double kPromptUs = 100e3;
 
 }  // namespace
 
--- a/src/core/steering/answer_times.h
+++ b/src/core/steering/answer_times.h
@@ -6,6 +6,7 @@
 
 #include <absl/container/flat_hash_map.h>
 
+#include <cstdint>
 #include <string>
 
 #include "model/time.h"
@@ -29,6 +30,9 @@
   void on_answer(const std::string& pool, Duration took, Instant now);
   [[nodiscard]] Promptness promptness(const std::string& pool, Instant now) const;
 
+  /// Work without a queue takes less than this, in microseconds; with a full queue it takes more.
+  static constexpr double kPromptUs = 100e3;
+
  private:
   struct Estimate {
     double mean_us = 0;
--- a/src/core/steering/flow_observation.cc
+++ b/src/core/steering/flow_observation.cc
@@ -13,9 +13,6 @@
 /// Data that comes again within this time came twice or out of order; callers send again after
 /// 200 ms and more.
 constexpr Duration kRepeatedAfter = std::chrono::milliseconds(150);
-/// Where answers usually take longer than this, the first repetition tells of a queue, not of a
-/// dead target: targets acknowledge a lone packet with its answer, or when it comes again.
-constexpr double kPromptAnswerUs = 100e3;
 /// A repetition that the own link may have caused is no sign, but the third one, 1.4 s after the
 /// request, is: silence of probes proves nothing on a busy link, a refusal still does.
 constexpr std::uint32_t kRepeatsOnBusyLink = 3;
@@ -93,7 +90,9 @@
   }
   const TargetScore& score = scores_.at(entry.target);
   const bool answered_others = score.answer_at > *entry.request_since;
-  const bool is_prompt = score.answer_us > 0 && score.answer_us < kPromptAnswerUs;
+  // Where there is a queue, the first repetition tells of it, not of a dead target: targets
+  // acknowledge a lone packet with its answer, or when it comes again.
+  const bool is_prompt = score.answer_us > 0 && score.answer_us < AnswerTimes::kPromptUs;
   if (entry.repeats > 1 || (is_prompt && !answered_others)) {
     suspect(entry.target, now);
   }
--- a/src/core/steering/flow_steering.h
+++ b/src/core/steering/flow_steering.h
@@ -201,7 +201,7 @@
   /// have opened at the new life before this balancer heard of it, and the target itself refuses
   /// packets of the others.
   void end_life(TargetId target);
-  /// Makes room for what is measured of the target's pool and zone.
+  /// Makes room for the times of the target's pool and zone.
   void prepare_times(const RegisteredTarget& target);
   void update_cold_rates();
   void note(const CallerPacket& packet, TargetId target, Instant now);
@@ -236,6 +236,8 @@
   /// Notes that those others at the target's address that the condition names are gone.
   template <typename Condition>
   void note_replaced(const RegisteredTarget& target, Condition is_gone);
+  /// The flow of an opening that nothing but copies followed; nullptr for any other.
+  [[nodiscard]] const FlowEntry* find_unanswered(const Expectation& opening);
   /// When nothing but an answer would have kept an opening from being overdue.
   [[nodiscard]] Instant overdue_at(const Expectation& opening) const;
   /// What answers of the target's pool tell of queues: where they are prompt, a target that refuses
--- a/src/core/steering/flow_steering_refusals.cc
+++ b/src/core/steering/flow_steering_refusals.cc
@@ -52,6 +52,13 @@
   return may_be_told ? answer_times_.promptness(target.pool, now) : Promptness::kSlow;
 }
 
+const FlowEntry* FlowSteering::find_unanswered(const Expectation& opening) {
+  const FlowEntry* entry = opening.is_met ? nullptr : flows_.find(opening.flow);
+  const bool is_unanswered =
+      entry != nullptr && entry->phase == FlowPhase::kOpening && entry->target == opening.target;
+  return is_unanswered ? entry : nullptr;
+}
+
 Instant FlowSteering::overdue_at(const Expectation& opening) const {
   const RegisteredTarget* target = view_.target_by_id(opening.target);
   const Duration usual =
@@ -75,14 +82,14 @@
     if (now < overdue_at(opening)) {
       return;
     }
-    const FlowEntry* entry = opening.is_met ? nullptr : flows_.find(opening.flow);
-    const bool is_overdue = entry != nullptr && entry->phase == FlowPhase::kOpening &&
-                            entry->target == opening.target && !may_be_own_link(opening.at);
+    if (find_unanswered(opening) == nullptr || may_be_own_link(opening.at)) {
+      continue;
+    }
     const RegisteredTarget* target = view_.target_by_id(opening.target);
     const bool may_probe = policy_.refusal_probes > 0 && target != nullptr &&
                            !zone_paths_.is_cut(opening.target) &&
                            promptness(*target, now) == Promptness::kPrompt;
-    if (is_overdue && may_probe) {
+    if (may_probe) {
       refusals_.on_overdue(opening.target, now);
     }
   }
@@ -91,11 +98,8 @@
 void FlowSteering::check_openings(Instant now) {
   while (!openings_.empty() && now - openings_.front().at >= kRefusedAfter) {
     const Expectation& opening = openings_.front();
-    const FlowEntry* entry = opening.is_met ? nullptr : flows_.find(opening.flow);
-    const bool is_refused = entry != nullptr && entry->phase == FlowPhase::kOpening &&
-                            entry->target == opening.target && !entry->has_copy &&
-                            !may_be_own_link(opening.at);
-    if (is_refused) {
+    const FlowEntry* entry = find_unanswered(opening);
+    if (entry != nullptr && !entry->has_copy && !may_be_own_link(opening.at)) {
       scores_.on_refused(opening.target, now);
     }
     openings_.pop_front();
--- a/src/core/steering/flow_steering_zones.cc
+++ b/src/core/steering/flow_steering_zones.cc
@@ -41,9 +41,7 @@
   const auto is_due = [&](const Expectation& one) { return now - one.at >= kLateAfter; };
   auto opening = openings_.begin() + static_cast<std::ptrdiff_t>(late_openings_);
   for (; opening != openings_.end() && is_due(*opening); ++opening, ++late_openings_) {
-    const FlowEntry* entry = flows_.find(opening->flow);
-    opening->is_met = opening->is_met || entry == nullptr || entry->phase != FlowPhase::kOpening ||
-                      entry->target != opening->target;
+    opening->is_met = find_unanswered(*opening) == nullptr;
     if (!opening->is_met) {
       doubt_zone(opening->target, opening->at, now);
     }
