--- a/review/standins/client.py
+++ b/review/standins/client.py
@@ -32,6 +32,8 @@
         self.socket.bind((ip, DATAGRAM_PORT))
         self.socket.settimeout(0.1)
         self.is_running = True
+        # The first answers to the opening packet of each flow that are lost on their way.
+        self.lose_opening_answers = 0
         threading.Thread(target=self.receive_forever, daemon=True).start()
 
     def close(self):
@@ -67,6 +69,7 @@
         self.name = f"{client.name}:{source[1]}"
         self.state = "opening"
         self.reset_by = None
+        self.answers_to_lose = client.lose_opening_answers
         self.echo = 0
         self.send_next = random.randrange(1 << 30)
         self.receive_next = 0
@@ -94,7 +97,10 @@
 
     def on_packet(self, packet, sender):
         with self.changed:
-            if packet.flags & RST:
+            if packet.flags & SYN and self.answers_to_lose > 0:
+                self.answers_to_lose -= 1
+                self.record.write(self.name, f"the SYN+ACK from {sender} is lost on its way")
+            elif packet.flags & RST:
                 self.on_reset(packet, sender)
             elif packet.flags & SYN and self.state == "opening":
                 self.receive_next = packet.seq
