--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,86 +1,51 @@
-"""A heartbeat that a cut held back arrives when its sender has crashed and a new incarnation has the address."""
+"""A target leaves by DELETE and serves on; its address was held before by a target that crashed."""
 
 import os
 import pathlib
-import socket
 import sys
-import threading
 import time
 
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "standins"))
 
 from client import Client
-from deployment import (CONTACT_S, CONTROL_PORT, TARGET_PORT, CannotRun, Deployment, Record, configuration, route)
+from deployment import (CONTACT_S, DRAIN_S, REUSE_AFTER_S, TARGET_PORT, CannotRun, Deployment, Record, configuration,
+                        route)
 from target import Target
 
+FEED = ("198.18.0.1", 8443)
 PAPERS = ("198.18.0.1", 8080)
-# The request that is under way when the client's copy of the opening packet arrives, 0.2 s after the first.
-REQUEST_AT_S = 0.12
-WORK_S = 0.16
-
-
-class HeldBackHeartbeat:
-    """The first heartbeat of a target, on a connection that a cut holds up until `heal`."""
-
-    def __init__(self, record, control, target_id, address, service):
-        self.record = record
-        self.id = target_id
-        body = (f'{{"service":"{service}","address":"{address[0]}:{address[1]}","zone":"zone-a","version":"v1",'
-                f'"slots":2,"state":"ready","warmup_left_ms":0,"seq":1}}')
-        self.request = (f"PUT /-/instances/{target_id} HTTP/1.1\r\nHost: {control.ip}\r\n"
-                        f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n{body}").encode()
-        self.connection = socket.create_connection((control.ip, CONTROL_PORT), timeout=2)
-        record.write(target_id, f"starts at {address[0]}:{address[1]}, sends its first heartbeat to {control.name}; "
-                                "a cut holds it back")
-
-    def heal(self):
-        """The bytes arrive, followed by the end of the connection."""
-        self.connection.sendall(self.request)
-        try:
-            answer = self.connection.recv(4096).split(b"\r\n", 1)[0].decode()
-        except OSError:
-            answer = "no answer"
-        self.connection.close()
-        self.record.write(self.id, f"the cut has healed, the heartbeat arrives: {answer}")
 
 
 def play(deployment, record, has_trouble):
-    """Returns the flows that the system broke off, and what became of their requests."""
-    deployment.start(configuration(1, [route("papers", PAPERS[1], "paper-service", "non_idempotent")],
-                                   ["paper-service"]))
+    """Returns the flows that the system broke off."""
+    deployment.start(configuration(1, [route("feed", FEED[1], "feed-service"), route("papers", PAPERS[1], "paper-service")],
+                                   ["feed-service", "paper-service"]))
     address = (deployment.ip(4, 1), TARGET_PORT)
-    late = None
+    others = [Target(deployment, "feed-2", "feed-service", (deployment.ip(4, 2), TARGET_PORT), "zone-b")]
     if has_trouble:
-        late = HeldBackHeartbeat(record, deployment.controls[0], "i-00000a11ce", address, "paper-service")
-        time.sleep(0.5)
-        record.write(late.id, "crashes, within a second of its start")
-        time.sleep(0.5)
-    target = Target(deployment, "paper-1", "paper-service", address, "zone-a", work_s=WORK_S)
-    time.sleep(2.0)
+        crashed = Target(deployment, "feed-1", "feed-service", address, "zone-a")
+        time.sleep(2.5)
+        crashed.end("crashes and says nothing")
+        time.sleep(REUSE_AFTER_S + 0.5)
+    leaving = Target(deployment, "paper-1", "paper-service", address, "zone-a")
+    # Longer than contact_ms, so that the crash is no excuse any more.
+    time.sleep(CONTACT_S + 1.5)
     client = Client(deployment, deployment.ip(3, 1))
     flows = [client.open(balancer, PAPERS) for balancer in deployment.balancers]
     for flow in flows:
         if flow.request() != "answered":
-            raise CannotRun(f"{flow.name} was not served")
-    time.sleep(0.5)
-    if late is not None:
-        late.heal()
-    # Longer than contact_ms, so that the cut is no excuse any more. The flows rest.
-    time.sleep(CONTACT_S + 1.0)
-    other = Client(deployment, deployment.ip(3, 2), "other")
-    other.lose_opening_answers = 1
-    outcomes = []
-    for flow in flows:
-        opening = threading.Thread(target=other.open, args=(flow.balancer, PAPERS))
-        opening.start()
-        time.sleep(REQUEST_AT_S)
-        outcomes.append(flow.request())
-        opening.join()
+            raise CannotRun(f"{flow.name} was not served before the target left")
+    if leaving.deregister() != 200:
+        raise CannotRun("the DELETE was not acknowledged")
+    left_at = time.monotonic()
+    others.append(Target(deployment, "paper-2", "paper-service", (deployment.ip(4, 3), TARGET_PORT), "zone-c"))
     time.sleep(0.5)
-    target.end()
+    outcomes = [flow.request() for flow in flows]
+    time.sleep(max(0.0, left_at + DRAIN_S + 0.5 - time.monotonic()))
+    leaving.end()
     deployment.check_processes()
-    record.write("check", f"requests under way: {', '.join(outcomes)}")
+    record.write("check", f"after the DELETE: {', '.join(outcomes)}")
     return [flow.name for flow in flows if flow.reset_by == "system"]
 
 
