Which target holds an address: decided once, by heartbeats that go on and flows that open

Change: the leader finds the holder (core/control/address_holders): the target that is heard for a heartbeat timeout without a gap, while no other at the address is heard. A balancer concludes on its own only from a handshake: a target that answers an opening packet holds its address. Otherwise nothing is concluded; packets go on under the target's own id, which no other target accepts; a connection that is accepted at a shared address neither restores nor condemns. Order of the log and start times were weighed as evidence and left out: a delayed first heartbeat defeats the one, a clock that was set back the other.

--- a/src/core/control/control_node_targets.cc
+++ b/src/core/control/control_node_targets.cc
@@ -68,7 +68,7 @@
   }
   const IncarnationOrder order = compare_incarnations(ended.started_at_ms, known->started_at_ms);
   return order == IncarnationOrder::kEarlier ||
-         (order == IncarnationOrder::kSame && known->phase == TargetPhase::kEnded);
+         (order == IncarnationOrder::kSame && known->has_ended());
 }
 
 void ControlNode::forward(const ForwardedRegistrations& registrations) {
@@ -95,6 +95,9 @@
   if (!phase_changes.empty()) {
     propose(phase_changes, now);
   }
+  if (!phase_changes.replaced.empty()) {
+    output_.on_targets_replaced(phase_changes.replaced);
+  }
 }
 
 void ControlNode::handle(const Endpoint& /*from*/, const ForwardedRegistrations& registrations,
--- a/src/core/control/control_output.h
+++ b/src/core/control/control_output.h
@@ -33,6 +33,9 @@
   }
   /// Called when an update is retransmitted to a balancer.
   virtual void on_update_retransmitted(const UpdateRetransmission& /*retransmission*/) {}
+  /// Called when the leader proposes that other targets hold the addresses of these. Repeated until
+  /// the proposal is committed.
+  virtual void on_targets_replaced(const std::vector<TargetIncarnation>& /*replaced*/) {}
 };
 
 /// Faults that a test injects to verify that the invariant checkers detect them. Programs leave all
--- a/src/core/control/registration_delta_builder.cc
+++ b/src/core/control/registration_delta_builder.cc
@@ -64,10 +64,14 @@
   put(std::move(ended));
 }
 
+void RegistrationDeltaBuilder::mark_replaced(const TargetIncarnation& target_incarnation) {
+  set_phase(target_incarnation, TargetPhase::kReplaced);
+}
+
 void RegistrationDeltaBuilder::remove(const TargetIncarnation& target_incarnation) {
   const RegisteredTarget* known = find_current(target_incarnation.id);
-  if (known != nullptr && known->incarnation() == target_incarnation &&
-      known->phase == TargetPhase::kEnded && !changed_index_.contains(target_incarnation.id)) {
+  if (known != nullptr && known->incarnation() == target_incarnation && known->has_ended() &&
+      !changed_index_.contains(target_incarnation.id)) {
     delta_.removed_targets.push_back(target_incarnation.id);
   }
 }
--- a/src/core/control/registration_delta_builder.h
+++ b/src/core/control/registration_delta_builder.h
@@ -27,6 +27,8 @@
   /// Marks an incarnation as ended. An unknown incarnation is stored, to reject late announcements
   /// of it.
   void mark_ended(const TargetIncarnation& target_incarnation);
+  /// Marks an incarnation whose address another target holds.
+  void mark_replaced(const TargetIncarnation& target_incarnation);
   /// Removes an ended incarnation that nothing refers to any more.
   void remove(const TargetIncarnation& target_incarnation);
 
--- a/src/core/control/registration_monitor.cc
+++ b/src/core/control/registration_monitor.cc
@@ -1,6 +1,10 @@
 #include "core/control/registration_monitor.h"
 
+#include <absl/container/flat_hash_set.h>
+
 #include <algorithm>
+#include <string_view>
+#include <utility>
 
 namespace gorsevalve {
 
@@ -8,6 +12,7 @@
   elected_at_ = now;
   last_seen_.clear();
   ended_.clear();
+  holders_.clear();
 }
 
 void RegistrationMonitor::on_announcement(const TargetIncarnation& target_incarnation,
@@ -25,11 +30,43 @@
   }
 }
 
-Instant RegistrationMonitor::last_seen(const RegisteredTarget& target) const {
+std::optional<Instant> RegistrationMonitor::heard_at(const RegisteredTarget& target) const {
   const auto found = last_seen_.find(target.id);
   const bool is_recorded =
       found != last_seen_.end() && found->second.started_at_ms == target.started_at_ms;
-  return is_recorded ? std::max(found->second.at, elected_at_) : elected_at_;
+  return is_recorded ? std::optional(found->second.at) : std::nullopt;
+}
+
+Instant RegistrationMonitor::last_seen(const RegisteredTarget& target) const {
+  return std::max(heard_at(target).value_or(elected_at_), elected_at_);
+}
+
+AddressClaims RegistrationMonitor::find_shared_addresses(const SteeringState& state) const {
+  absl::flat_hash_set<std::string_view> configured;
+  for (const auto& pool : state.settings.pools) {
+    configured.insert(pool.name);
+  }
+  const auto claim_of = [&](const RegisteredTarget& target) {
+    return AddressClaim{target.incarnation(), heard_at(target), configured.contains(target.pool)};
+  };
+  AddressClaims shared;
+  absl::flat_hash_map<Endpoint, const RegisteredTarget*> first_at;
+  first_at.reserve(state.targets.size());
+  for (const auto& [id, target] : state.targets) {
+    if (target.phase == TargetPhase::kReplaced) {
+      continue;
+    }
+    const auto [first, is_first] = first_at.try_emplace(target.address, &target);
+    if (is_first) {
+      continue;
+    }
+    std::vector<AddressClaim>& claims = shared[target.address];
+    if (claims.empty()) {
+      claims.push_back(claim_of(*first->second));
+    }
+    claims.push_back(claim_of(target));
+  }
+  return shared;
 }
 
 Instant RegistrationMonitor::ended_at(const RegisteredTarget& target, Instant now) {
@@ -44,7 +81,7 @@
 RegistrationCommand RegistrationMonitor::check_timeouts(const SteeringState& state, Instant now) {
   RegistrationCommand command;
   for (const auto& [id, target] : state.targets) {
-    if (target.phase == TargetPhase::kEnded) {
+    if (target.has_ended()) {
       if (now - ended_at(target, now) > timing_.remove_after) {
         command.removed.push_back(target.incarnation());
       }
@@ -57,6 +94,7 @@
       command.silent.push_back(target.incarnation());
     }
   }
+  command.replaced = holders_.find_replaced(find_shared_addresses(state));
   for (const TargetIncarnation& target_incarnation : command.removed) {
     ended_.erase(target_incarnation.id);
     last_seen_.erase(target_incarnation.id);
--- a/src/core/control/registration_monitor.h
+++ b/src/core/control/registration_monitor.h
@@ -1,10 +1,13 @@
-/// Failure detector of the leader for targets: finds incarnations whose heartbeats timed out, and
-/// ended ones that can be removed. Not persisted; a new leader starts with a full timeout for each
-/// target.
+/// Failure detector of the leader for targets: finds incarnations whose heartbeats timed out or
+/// whose address another target holds, and ended ones that can be removed. Not persisted; a new
+/// leader starts with a full timeout for each target.
 #pragma once
 
 #include <absl/container/flat_hash_map.h>
 
+#include <optional>
+
+#include "core/control/address_holders.h"
 #include "core/control/steering_commands.h"
 #include "model/time.h"
 
@@ -21,7 +24,8 @@
 
 class RegistrationMonitor {
  public:
-  explicit RegistrationMonitor(const RegistrationTiming& timing) : timing_(timing) {}
+  explicit RegistrationMonitor(const RegistrationTiming& timing)
+      : timing_(timing), holders_(timing.heartbeat_timeout) {}
 
   /// Clears the records of an earlier term.
   void on_elected(Instant now);
@@ -41,12 +45,17 @@
     Instant at;
   };
 
+  /// Time of the last announcement of the incarnation in this term.
+  [[nodiscard]] std::optional<Instant> heard_at(const RegisteredTarget& target) const;
   /// Time of the last announcement of the incarnation, or of the election if that is later.
   [[nodiscard]] Instant last_seen(const RegisteredTarget& target) const;
+  /// Addresses at which more than one target is registered that was not replaced.
+  [[nodiscard]] AddressClaims find_shared_addresses(const SteeringState& state) const;
   /// Time at which this leader first found the incarnation ended.
   Instant ended_at(const RegisteredTarget& target, Instant now);
 
   RegistrationTiming timing_;
+  AddressHolders holders_;
   Instant elected_at_;
   absl::flat_hash_map<TargetId, TimedIncarnation> last_seen_;
   absl::flat_hash_map<TargetId, TimedIncarnation> ended_;
--- a/src/core/control/steering_commands.cc
+++ b/src/core/control/steering_commands.cc
@@ -130,6 +130,9 @@
   for (const TargetIncarnation& incarnation : command.ended) {
     builder.mark_ended(incarnation);
   }
+  for (const TargetIncarnation& incarnation : command.replaced) {
+    builder.mark_replaced(incarnation);
+  }
   for (const TargetIncarnation& incarnation : command.removed) {
     builder.remove(incarnation);
   }
--- a/src/core/control/steering_commands.h
+++ b/src/core/control/steering_commands.h
@@ -31,16 +31,19 @@
   std::vector<TargetIncarnation> ended;
   /// Incarnations whose heartbeats timed out.
   std::vector<TargetIncarnation> silent;
+  /// Incarnations whose address another target holds.
+  std::vector<TargetIncarnation> replaced;
   /// Ended incarnations to remove.
   std::vector<TargetIncarnation> removed;
 
   [[nodiscard]] bool empty() const {
-    return announced.empty() && ended.empty() && silent.empty() && removed.empty();
+    return announced.empty() && ended.empty() && silent.empty() && replaced.empty() &&
+           removed.empty();
   }
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive& announced& ended& silent& removed;
+    archive& announced& ended& silent& replaced& removed;
   }
 };
 
--- a/src/core/control/target_health_aggregator.cc
+++ b/src/core/control/target_health_aggregator.cc
@@ -167,7 +167,7 @@
   absl::flat_hash_map<FlowToken, DecayedCounters> current;
   for (const auto& [id, target] : state.targets) {
     const auto found = counters_.find(target.token);
-    if (found == counters_.end() || target.phase == TargetPhase::kEnded) {
+    if (found == counters_.end() || target.has_ended()) {
       continue;
     }
     decay(found->second, now);
--- a/src/core/control/target_incarnations.cc
+++ b/src/core/control/target_incarnations.cc
@@ -16,7 +16,7 @@
 
 bool changes_within_incarnation(const RegisteredTarget& announced, const RegisteredTarget& known) {
   const bool is_late = announced.sequence <= known.sequence;
-  if (known.phase == TargetPhase::kEnded || is_late || is_same_registration(announced, known)) {
+  if (known.has_ended() || is_late || is_same_registration(announced, known)) {
     return false;
   }
   const bool returns_from_draining =
--- a/src/core/steering/flow_observation.cc
+++ b/src/core/steering/flow_observation.cc
@@ -108,6 +108,9 @@
   FlowEntry* entry = flows_.find(packet.flow);
   // A flow opened through another balancer gives no handshake time.
   const bool opened_here = entry != nullptr && entry->phase == FlowPhase::kOpening;
+  // A reply after a retransmission may belong to the earlier packet.
+  const bool answers_last_packet =
+      opened_here && entry->target == target && !entry->is_retransmitted;
   const Instant opening_at = entry == nullptr ? now : entry->last_seen;
   if (entry != nullptr && entry->target != target) {
     remove_load(*entry);
@@ -139,6 +142,9 @@
     if (opened_here) {
       on_opened(*entry, opening_at, now);
     }
+    if (answers_last_packet) {
+      on_address_held(target, opening_at, now);
+    }
   }
   observe_request(*entry, packet, now);
   if (packet.closes || packet.resets) {
--- a/src/core/steering/flow_steering.cc
+++ b/src/core/steering/flow_steering.cc
@@ -63,25 +63,6 @@
     zone_paths_.on_target(target);
     add_time_estimates(target);
   }
-  // A snapshot has no announcement order. Of two targets at one address, the one whose heartbeats
-  // timed out has been replaced.
-  for (const auto& [id, target] : state.targets) {
-    if (target.phase == TargetPhase::kReady) {
-      mark_replaced(target, [](const RegisteredTarget& other) {
-        return other.phase == TargetPhase::kSilent;
-      });
-    }
-  }
-}
-
-template <typename Condition>
-void FlowSteering::mark_replaced(const RegisteredTarget& target, Condition is_gone) {
-  for (const TargetId other : view_.live_targets_at(target.address)) {
-    const RegisteredTarget* known = view_.target_by_id(other);
-    if (other != target.id && known != nullptr && is_gone(*known)) {
-      reachability_.on_replaced(other);
-    }
-  }
 }
 
 void FlowSteering::apply(const SteeringDelta& delta, Instant now) {
@@ -92,7 +73,6 @@
   }
   for (const auto& target : delta.upserted_targets) {
     const bool is_restarted = scores_.is_other_incarnation(target);
-    const bool is_new = is_restarted || scores_.find(target.id) == nullptr;
     if (is_restarted) {
       remove_incarnation(target.id);
     }
@@ -100,9 +80,6 @@
     update_warm_up(target, true, now);
     zone_paths_.on_target(target);
     add_time_estimates(target);
-    if (is_new && target.phase != TargetPhase::kEnded) {
-      mark_replaced(target, [](const RegisteredTarget& /*other*/) { return true; });
-    }
   }
   for (const TargetId id : delta.removed_targets) {
     scores_.on_removed(id);
@@ -254,8 +231,7 @@
   if (!view_.may_reach(frontend, *target) && !faults_.accept_foreign_tokens) {
     return {SteeringAction::kDrop, SteeringReason::kForeignToken, nullptr};
   }
-  if (view_.is_replaced(*target)) {
-    // Another target has the address, so this one is gone.
+  if (target->phase == TargetPhase::kReplaced) {
     const SteeringAction action = packet.resets ? SteeringAction::kDrop : SteeringAction::kReset;
     return {action, SteeringReason::kTargetReplaced, nullptr};
   }
--- a/src/core/steering/flow_steering.h
+++ b/src/core/steering/flow_steering.h
@@ -237,9 +237,9 @@
                                                        const FlowEntry& entry, Instant now);
   [[nodiscard]] bool should_reset_for_zone(const FrontendView& frontend, const ClientPacket& packet,
                                            TargetId target, Instant now);
-  /// Marks other targets at the same address as replaced when they match the condition.
-  template <typename Condition>
-  void mark_replaced(const RegisteredTarget& target, Condition is_gone);
+  /// A target answered an opening packet that was sent to it at `sent_at`, so it holds its address.
+  /// Targets that were registered there at that time are gone.
+  void on_address_held(TargetId holder, Instant sent_at, Instant now);
   /// The flow of an opening packet without a reply; nullptr if it was answered or closed.
   [[nodiscard]] const FlowEntry* find_unanswered(const PendingReply& opening);
   /// When an opening packet exceeds the expected handshake time.
--- a/src/core/steering/flow_steering_refusals.cc
+++ b/src/core/steering/flow_steering_refusals.cc
@@ -40,6 +40,19 @@
   }
 }
 
+void FlowSteering::on_address_held(TargetId holder, Instant sent_at, Instant now) {
+  const RegisteredTarget* target = view_.target_by_id(holder);
+  if (target == nullptr || !view_.shares_address(*target)) {
+    return;
+  }
+  for (const TargetId other : view_.targets_at(target->address)) {
+    const TargetScore* score = scores_.find(other);
+    if (other != holder && score != nullptr && score->at_address_since <= sent_at) {
+      reachability_.on_replaced(other, now);
+    }
+  }
+}
+
 void FlowSteering::on_response(TargetId target, Duration took, Instant now) {
   scores_.on_response(target, took, now);
   if (const RegisteredTarget* known = view_.target_by_id(target); known != nullptr) {
@@ -164,7 +177,10 @@
       }
     }
   } else {
-    reachability_.on_answer(number, answer, now);
+    const RegisteredTarget* target = view_.target_by_id(reachability_.probed_target(number));
+    const bool is_shared = target != nullptr && view_.shares_address(*target);
+    const bool is_ambiguous = answer == ProbeAnswer::kAccepted && is_shared;
+    reachability_.on_answer(number, is_ambiguous ? ProbeAnswer::kAmbiguous : answer, now);
   }
 }
 
--- a/src/core/steering/flow_warm_up.cc
+++ b/src/core/steering/flow_warm_up.cc
@@ -10,7 +10,7 @@
   const double rate = view_.cold_flows_per_s(target.pool);
   const TargetScore* score = scores_.find(target.id);
   const bool is_cold = rate > 0 && score != nullptr && now < score->warm_at;
-  if (!is_cold || target.phase == TargetPhase::kEnded) {
+  if (!is_cold || target.has_ended()) {
     warm_up_.remove(target.id);
     return;
   }
--- a/src/core/steering/steering_view.cc
+++ b/src/core/steering/steering_view.cc
@@ -21,7 +21,7 @@
   }
   targets_.clear();
   by_token_.clear();
-  live_by_address_.clear();
+  by_address_.clear();
   for (auto& targets : pool_targets_) {
     targets.clear();
   }
@@ -86,8 +86,7 @@
 
 void SteeringView::add_to_pool(TargetEntry& entry) {
   const RegisteredTarget& target = entry.target;
-  const bool is_ending =
-      target.phase == TargetPhase::kDraining || target.phase == TargetPhase::kEnded;
+  const bool is_ending = target.phase >= TargetPhase::kDraining;
   if (!is_ending && !is_evacuated(target)) {
     std::vector<const RegisteredTarget*>& placeable = pool_targets_[entry.pool];
     entry.pool_position = placeable.size();
@@ -161,11 +160,11 @@
   const RegisteredTarget& target = entry.target;
   by_token_.erase(target.token);
   remove_from_pool(entry);
-  if (target.phase != TargetPhase::kEnded) {
-    const auto live = live_by_address_.find(target.address);
-    std::erase(live->second, target.id);
-    if (live->second.empty()) {
-      live_by_address_.erase(live);
+  if (target.phase != TargetPhase::kReplaced) {
+    const auto claimants = by_address_.find(target.address);
+    std::erase(claimants->second, target.id);
+    if (claimants->second.empty()) {
+      by_address_.erase(claimants);
     }
   }
 }
@@ -179,8 +178,8 @@
   entry.target = target;
   entry.pool = pool_index(target.pool);
   by_token_[target.token] = target.id;
-  if (target.phase != TargetPhase::kEnded) {
-    live_by_address_[target.address].push_back(target.id);
+  if (target.phase != TargetPhase::kReplaced) {
+    by_address_[target.address].push_back(target.id);
   }
   add_to_pool(entry);
 }
@@ -218,13 +217,9 @@
   return pool != pools_.end() && frontend.reachable_pools.contains(pool->second);
 }
 
-std::vector<TargetId> SteeringView::live_targets_at(const Endpoint& address) const {
-  const auto found = live_by_address_.find(address);
-  return found == live_by_address_.end() ? std::vector<TargetId>{} : found->second;
-}
-
-bool SteeringView::is_replaced(const RegisteredTarget& target) const {
-  return target.phase == TargetPhase::kEnded && live_by_address_.contains(target.address);
+absl::Span<const TargetId> SteeringView::targets_at(const Endpoint& address) const {
+  const auto found = by_address_.find(address);
+  return found == by_address_.end() ? absl::Span<const TargetId>{} : found->second;
 }
 
 }  // namespace gorsevalve
--- a/src/core/steering/steering_view.h
+++ b/src/core/steering/steering_view.h
@@ -5,6 +5,7 @@
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
 #include <absl/container/node_hash_map.h>
+#include <absl/types/span.h>
 
 #include <cstdint>
 #include <string>
@@ -53,11 +54,13 @@
   [[nodiscard]] const RegisteredTarget* target_by_id(TargetId id) const;
   /// True when the target's pool is a current or former pool of the frontend.
   [[nodiscard]] bool may_reach(const FrontendView& frontend, const RegisteredTarget& target) const;
-  /// True when the target has ended and another target now uses its address.
-  [[nodiscard]] bool is_replaced(const RegisteredTarget& target) const;
-  /// Targets at an address that have not ended, in order of announcement. Targets from snapshots
-  /// are in unspecified order.
-  [[nodiscard]] std::vector<TargetId> live_targets_at(const Endpoint& address) const;
+  /// Targets that may hold an address, in unspecified order. Valid until the next `reset` or
+  /// `apply`.
+  [[nodiscard]] absl::Span<const TargetId> targets_at(const Endpoint& address) const;
+  /// True when another target may hold the target's address.
+  [[nodiscard]] bool shares_address(const RegisteredTarget& target) const {
+    return targets_at(target.address).size() > 1;
+  }
   /// True when an operator's evacuation command keeps new flows from the target's zone.
   [[nodiscard]] bool is_evacuated(const RegisteredTarget& target) const {
     return evacuated_zones_.contains(target.zone);
@@ -119,8 +122,8 @@
   absl::flat_hash_set<Endpoint> dropped_;
   absl::flat_hash_set<std::string> evacuated_zones_;
   absl::flat_hash_map<FlowToken, TargetId> by_token_;
-  /// Targets that have not ended, by address.
-  absl::flat_hash_map<Endpoint, std::vector<TargetId>> live_by_address_;
+  /// Targets that were not replaced, by address.
+  absl::flat_hash_map<Endpoint, std::vector<TargetId>> by_address_;
 };
 
 }  // namespace gorsevalve
--- a/src/core/steering/target_reachability.cc
+++ b/src/core/steering/target_reachability.cc
@@ -109,18 +109,30 @@
 
 void TargetReachability::on_progress(TargetId target, Instant now) {
   // Fast path: this runs for client packets, and usually nothing is suspected.
-  const bool is_idle = suspicions_.empty() && unreachable_.empty() && replaced_.empty();
-  if (is_idle) {
+  const bool is_idle = suspicions_.empty() && unreachable_.empty();
+  if (!is_idle && (suspicions_.contains(target) || is_unreachable(target))) {
+    clear(target, now);
+  }
+}
+
+void TargetReachability::on_replaced(TargetId target, Instant now) {
+  if (is_unreachable(target)) {
+    unreachable_.at(target).is_replaced = true;
     return;
   }
-  const bool was_suspected = suspicions_.contains(target) || is_unreachable(target);
-  if (replaced_.erase(target) > 0 || was_suspected) {
-    clear(target, now);
+  UnreachableTarget detected{target, UnreachableReason::kReplaced};
+  if (const auto suspected = suspicions_.find(target); suspected != suspicions_.end()) {
+    detected.detection_time = now - suspected->second.since;
+    detected.probes = suspected->second.probes;
+    suspicions_.erase(suspected);
   }
+  unreachable_[target] = {now, 0, true};
+  detected_.push_back(detected);
 }
 
 void TargetReachability::clear(TargetId target, Instant now) {
   suspicions_.erase(target);
+  std::erase_if(detected_, [&](const UnreachableTarget& one) { return one.target == target; });
   if (unreachable_.erase(target) > 0) {
     restored_.push_back(target);
   }
@@ -135,7 +147,7 @@
 void TargetReachability::remove(TargetId target) {
   suspicions_.erase(target);
   unreachable_.erase(target);
-  replaced_.erase(target);
+  std::erase_if(detected_, [&](const UnreachableTarget& one) { return one.target == target; });
   cleared_until_.erase(target);
 }
 
@@ -166,7 +178,7 @@
 
 void TargetReachability::probe_unreachable(Instant now, std::vector<ProbeRequest>& out) {
   for (auto& [target, unreachable] : unreachable_) {
-    if (now >= unreachable.probe_next_at && !replaced_.contains(target)) {
+    if (now >= unreachable.probe_next_at && !unreachable.is_replaced) {
       unreachable.probe_next_at = now + kProbeInterval;
       send(target, 0, now, out);
     }
@@ -201,6 +213,11 @@
   on_target_answer(sent, answer, now);
 }
 
+TargetId TargetReachability::probed_target(std::uint64_t probe) const {
+  const auto found = sent_.find(probe);
+  return found == sent_.end() ? 0 : found->second.target;
+}
+
 void TargetReachability::drop_inconclusive(TargetId target, Instant now) {
   suspicions_.erase(target);
   cleared_until_[target] = now + kInconclusiveCooldown;
@@ -242,25 +259,19 @@
     }
     return;
   }
-  if (replaced_.contains(target)) {
-    return;
-  }
-  const bool is_back =
-      unreachable == unreachable_.end() || ++unreachable->second.accepted >= kRequiredAccepts;
+  const bool is_ambiguous = answer == ProbeAnswer::kAmbiguous;
+  const bool is_back = unreachable == unreachable_.end() ||
+                       (!is_ambiguous && ++unreachable->second.accepted >= kRequiredAccepts);
   if (is_back) {
     clear(target, now);
   }
 }
 
-std::optional<UnreachableReason> TargetReachability::evaluate(TargetId target,
-                                                              const Suspicion& suspected,
+std::optional<UnreachableReason> TargetReachability::evaluate(const Suspicion& suspected,
                                                               Instant now) const {
   if (faults_.trust_suspicions) {
     return UnreachableReason::kSilent;
   }
-  if (replaced_.contains(target)) {
-    return UnreachableReason::kReplaced;
-  }
   if (!suspected.reference_rtt && !faults_.ignore_references) {
     return std::nullopt;
   }
@@ -293,7 +304,7 @@
   std::vector<UnreachableTarget> detected;
   std::vector<TargetId> inconclusive;
   for (const auto& [target, suspected] : suspicions_) {
-    const auto reason = evaluate(target, suspected, now);
+    const auto reason = evaluate(suspected, now);
     if (reason) {
       detected.push_back({target, *reason, now - suspected.since, suspected.probes});
     } else if (is_inconclusive(suspected, now)) {
@@ -302,11 +313,13 @@
   }
   for (const auto& one : detected) {
     suspicions_.erase(one.target);
-    unreachable_[one.target] = {now + kProbeInterval, 0};
+    unreachable_[one.target] = {now + kProbeInterval, 0, false};
   }
   for (const TargetId target : inconclusive) {
     drop_inconclusive(target, now);
   }
+  detected.insert(detected.end(), detected_.begin(), detected_.end());
+  detected_.clear();
   return detected;
 }
 
--- a/src/core/steering/target_reachability.h
+++ b/src/core/steering/target_reachability.h
@@ -13,7 +13,6 @@
 #pragma once
 
 #include <absl/container/flat_hash_map.h>
-#include <absl/container/flat_hash_set.h>
 
 #include <cstdint>
 #include <map>
@@ -32,6 +31,8 @@
   kAccepted = 0,
   /// The host refuses connections at the address.
   kRefused = 1,
+  /// Something accepts connections at the address, which another target may hold.
+  kAmbiguous = 2,
 };
 
 /// A probe connection to open.
@@ -44,7 +45,7 @@
 enum class UnreachableReason : std::uint8_t {
   kSilent = 0,
   kRefused = 1,
-  /// A later target announced itself at the same address.
+  /// Another target at the same address accepted a flow.
   kReplaced = 2,
 };
 
@@ -85,15 +86,17 @@
   /// is gone. Counts only if a probe of about that time was refused, which shows that the path to
   /// the host was open.
   void on_unacknowledged_flow(TargetId target, Instant sent_at);
-  /// Another target announced itself later at the same address, so connections accepted there say
-  /// nothing about this one.
-  void on_replaced(TargetId target) { replaced_.insert(target); }
+  /// Another target at the same address accepted a flow, so this one is gone. It is not probed,
+  /// because connections accepted at the address say nothing about it.
+  void on_replaced(TargetId target, Instant now);
   /// A client received data or an acknowledgement from the target, so it is alive and reachable.
   void on_progress(TargetId target, Instant now);
   /// Sets whether the local link is so congested that answers may be delayed or lost. Call it
   /// before each step; by default the link is not congested.
   void set_link_congested(bool is_congested, Instant now);
   void on_answer(std::uint64_t probe, ProbeAnswer answer, Instant now);
+  /// The target of an unanswered probe; 0 if there is none.
+  [[nodiscard]] TargetId probed_target(std::uint64_t probe) const;
   /// A probe could not be sent; it proves nothing.
   void on_not_sent(std::uint64_t probe, Instant now);
   void remove(TargetId target);
@@ -106,8 +109,9 @@
   [[nodiscard]] std::vector<UnreachableTarget> detect_unreachable(Instant now);
 
   [[nodiscard]] bool is_unreachable(TargetId target) const { return unreachable_.contains(target); }
-  /// True while a suspicion is neither confirmed nor dismissed.
-  [[nodiscard]] bool is_probing() const { return !suspicions_.empty(); }
+  /// True while a suspicion is neither confirmed nor dismissed, or a result is not yet returned by
+  /// `detect_unreachable`.
+  [[nodiscard]] bool is_probing() const { return !suspicions_.empty() || !detected_.empty(); }
   void set_faults(const ReachabilityFaults& faults) { faults_ = faults; }
   [[nodiscard]] std::size_t unreachable_count() const { return unreachable_.size(); }
 
@@ -162,8 +166,7 @@
   /// Marks the target as reachable.
   void clear(TargetId target, Instant now);
   void on_target_answer(const SentProbe& probe, ProbeAnswer answer, Instant now);
-  [[nodiscard]] std::optional<UnreachableReason> evaluate(TargetId target,
-                                                          const Suspicion& suspected,
+  [[nodiscard]] std::optional<UnreachableReason> evaluate(const Suspicion& suspected,
                                                           Instant now) const;
 
   ReachabilityFaults faults_;
@@ -176,9 +179,11 @@
     Instant probe_next_at;
     /// Consecutive probes that were accepted.
     std::uint32_t accepted = 0;
+    bool is_replaced = false;
   };
   std::map<TargetId, Unreachable> unreachable_;
-  absl::flat_hash_set<TargetId> replaced_;
+  /// Unreachable targets that `detect_unreachable` did not return yet.
+  std::vector<UnreachableTarget> detected_;
   /// Targets that recently proved reachable or were inconclusive, with the end of the time during
   /// which they are not suspected.
   absl::flat_hash_map<TargetId, Instant> cleared_until_;
--- a/src/core/steering/target_scores.cc
+++ b/src/core/steering/target_scores.cc
@@ -50,6 +50,10 @@
     answered_.erase(target.id);
     to_report_.erase(target.id);
   }
+  if (is_new || score.address != target.address) {
+    score.address = target.address;
+    score.at_address_since = now;
+  }
   // A repeated announcement does not restart the warm-up.
   if (is_new || target.sequence > score.announcement_sequence) {
     score.warm_at = now + milliseconds(target.warm_up_ms);
--- a/src/core/steering/target_scores.h
+++ b/src/core/steering/target_scores.h
@@ -35,6 +35,9 @@
   Instant warm_at;
   /// Sequence number of the announcement that set `warm_at`.
   std::uint64_t announcement_sequence = 0;
+  Endpoint address;
+  /// When this balancer learned that the target is at the address.
+  Instant at_address_since;
   /// The incarnation of the target that this entry describes.
   TargetStart started_at_ms = 0;
   /// Observations of this balancer since its last report.
--- a/src/core/steering/zone_paths.cc
+++ b/src/core/steering/zone_paths.cc
@@ -60,7 +60,7 @@
 }
 
 void ZonePaths::on_target(const RegisteredTarget& target) {
-  if (target.phase == TargetPhase::kEnded) {
+  if (target.has_ended()) {
     on_removed(target.id);
     return;
   }
--- a/src/model/steering.h
+++ b/src/model/steering.h
@@ -120,6 +120,8 @@
   kDraining = 2,
   /// Announced its end. Its open flows may continue for some time.
   kEnded = 3,
+  /// Another target holds its address, so its process and its flows are gone.
+  kReplaced = 4,
 };
 
 /// One run of a target process. A later incarnation keeps no state of an earlier one and restarts
@@ -152,6 +154,7 @@
   std::uint32_t warm_up_ms = 0;
 
   [[nodiscard]] TargetIncarnation incarnation() const { return {id, started_at_ms}; }
+  [[nodiscard]] bool has_ended() const { return phase >= TargetPhase::kEnded; }
 
   friend bool operator==(const RegisteredTarget&, const RegisteredTarget&) = default;
 
--- a/src/storage/log_store.h
+++ b/src/storage/log_store.h
@@ -31,7 +31,7 @@
 
 /// Version of the on-disk formats of a replica's directory. A directory of another version is
 /// rejected.
-constexpr std::uint32_t kDiskFormat = 5;
+constexpr std::uint32_t kDiskFormat = 6;
 
 /// Identity of the replica. Written once.
 struct ReplicaIdentity {
--- a/src/tasks/control_task.h
+++ b/src/tasks/control_task.h
@@ -132,6 +132,7 @@
   bool send_node(const Endpoint& to, const NodeMessage& message) override;
   bool send_shared(const Endpoint& to, const SharedNodeMessage& message) override;
   void on_update_retransmitted(const UpdateRetransmission& retransmission) override;
+  void on_targets_replaced(const std::vector<TargetIncarnation>& replaced) override;
   [[nodiscard]] bool is_replica(const Endpoint& address) const;
   const EncodedMessage& encode_cached(const SharedNodeMessage& message);
   [[nodiscard]] bool append(const LogFrame& frame) override;
--- a/src/tasks/control_task_targets.cc
+++ b/src/tasks/control_task_targets.cc
@@ -132,6 +132,16 @@
   }
 }
 
+void ControlTask::on_targets_replaced(const std::vector<TargetIncarnation>& replaced) {
+  for (const TargetIncarnation& incarnation : replaced) {
+    const RegisteredTarget* known = find_target(node_->state().fleet().steering, incarnation.id);
+    log_event(LogEvent::kTargetReplaced,
+              {{"target", incarnation.id},
+               {"started_at_ms", incarnation.started_at_ms},
+               {"address", known == nullptr ? std::string{} : to_string(known->address)}});
+  }
+}
+
 void ControlTask::log_restart(const RegisteredTarget& announced) const {
   const RegisteredTarget* known = find_target(node_->state().fleet().steering, announced.id);
   if (known == nullptr || known->started_at_ms == announced.started_at_ms) {
--- a/src/tasks/log_events.h
+++ b/src/tasks/log_events.h
@@ -76,6 +76,7 @@
   kTargetAnnounced,
   kTargetRestarted,
   kTargetEnded,
+  kTargetReplaced,
   kRegistrationsDecided,
   kForwardedUndecided,
   kAnnouncementRefused,
@@ -227,6 +228,10 @@
          "discarded."},
         {LogEvent::kTargetEnded, "target_ended", LogLevel::kInfo, LogClass::kState,
          "This replica received the end of a target."},
+        {LogEvent::kTargetReplaced, "target_replaced", LogLevel::kInfo, LogClass::kState,
+         "The leader found that another target holds the address of this one: only the other one "
+         "is "
+         "heard."},
         {LogEvent::kRegistrationsDecided, "registrations_decided", LogLevel::kInfo,
          LogClass::kState,
          "Outcome reported to the targets whose registrations share a log entry."},
--- a/tests/sim/test_steering_workload.cc
+++ b/tests/sim/test_steering_workload.cc
@@ -1,6 +1,7 @@
 /// A seeded workload over several balancers that steer by reflected tokens. Targets are added,
-/// drain, end and release their addresses; settings change; each balancer receives revisions with
-/// its own delay; and any balancer may receive a packet.
+/// drain, announce their end and serve on, crash, and release their addresses to others; heartbeats
+/// of crashed targets arrive late; settings change; each balancer receives revisions with its own
+/// delay, some as deltas; and any balancer may receive a packet.
 ///
 /// Checks after each packet: an open flow never moves, no packet reaches a pool that its frontend
 /// never had, a target known to be draining gets no new flow, and a flow of a live target is reset
@@ -11,6 +12,7 @@
 #include <random>
 #include <set>
 
+#include "core/control/registration_monitor.h"
 #include "core/control/steering_commands.h"
 #include "core/steering/flow_steering.h"
 #include "fault_detection.h"
@@ -23,6 +25,8 @@
 constexpr Instant kStart{std::chrono::seconds(1000)};
 constexpr std::size_t kBalancers = 4;
 constexpr int kSteps = 3000;
+constexpr milliseconds kHeartbeatInterval{1200};
+constexpr milliseconds kCheckInterval{500};
 constexpr Endpoint kFirst{0xC6120001, 443};
 constexpr Endpoint kSecond{0xC6120002, 443};
 
@@ -41,6 +45,7 @@
       balancers_.back().confirm(now_);
       revisions_.push_back(0);
     }
+    monitor_.on_elected(now_);
     submit();
     for (int i = 0; i < 8; ++i) {
       announce_new(i % 3 == 0 ? "beta" : "alpha");
@@ -54,6 +59,7 @@
   std::string run() {
     for (int step = 0; step < kSteps && violation_.empty(); ++step) {
       now_ += milliseconds(5);
+      run_leader();
       const std::uint64_t choice = random_() % 100;
       if (choice < 2) {
         submit();
@@ -78,6 +84,7 @@
     }
     apply_steering_delta(state_, *delta);
     history_.push_back(state_);
+    deltas_.push_back(*delta);
     for (const auto& frontend : state_.settings.frontends) {
       for (const auto& part : frontend.pools) {
         allowed_pools_.insert({frontend.address, part.pool});
@@ -85,6 +92,34 @@
     }
   }
 
+  void record(const RegistrationCommand& command) {
+    record(steering_delta(state_, command, TokenIndex(state_)));
+  }
+
+  void announce(const RegisteredTarget& target) {
+    monitor_.on_announcement(target.incarnation(), now_);
+    RegistrationCommand command;
+    command.announced = {target};
+    record(command);
+  }
+
+  /// Targets send heartbeats, and the leader checks their timeouts.
+  void run_leader() {
+    if (now_ >= next_heartbeats_) {
+      next_heartbeats_ = now_ + kHeartbeatInterval;
+      for (const TargetId id : live_targets_) {
+        const RegisteredTarget& target = state_.targets.at(id);
+        if (!target.has_ended()) {
+          monitor_.on_announcement(target.incarnation(), now_);
+        }
+      }
+    }
+    if (now_ >= next_check_) {
+      next_check_ = now_ + kCheckInterval;
+      record(monitor_.check_timeouts(state_, now_));
+    }
+  }
+
   void submit() {
     SteeringSettings settings;
     settings.version = ++version_;
@@ -104,7 +139,6 @@
   }
 
   void announce_new(const std::string& pool) {
-    RegistrationCommand command;
     RegisteredTarget target;
     target.id = ++last_id_;
     target.pool = pool;
@@ -114,9 +148,24 @@
       free_addresses_.pop_back();
     }
     target.sequence = 1;
-    command.announced.push_back(target);
     live_targets_.insert(target.id);
-    record(steering_delta(state_, command, TokenIndex(state_)));
+    announce(target);
+  }
+
+  /// The first heartbeat of a target that crashed before the present holder of its address started.
+  void announce_late(const RegisteredTarget& holder) {
+    RegisteredTarget late;
+    late.id = ++last_id_;
+    late.pool = random_() % 2 == 0 ? "alpha" : "beta";
+    late.address = holder.address;
+    late.sequence = 1;
+    announce(late);
+  }
+
+  /// The target ends without a further announcement, and its address can be used again.
+  void end_process(const RegisteredTarget& target) {
+    live_targets_.erase(target.id);
+    free_addresses_.push_back(target.address);
   }
 
   const RegisteredTarget& random_target() {
@@ -131,21 +180,31 @@
       return;
     }
     if (random_() % 4 == 0) {
+      announce_late(target);
+    } else if (target.has_ended()) {
+      end_process(target);
+    } else if (random_() % 4 == 0) {
       restart(target);
-      return;
-    }
-    RegistrationCommand command;
-    if (target.phase == TargetPhase::kDraining) {
-      command.ended.push_back(target.incarnation());
-      live_targets_.erase(target.id);
-      free_addresses_.push_back(target.address);
     } else if (live_targets_.size() > 4) {
+      leave(target);
+    }
+  }
+
+  void leave(const RegisteredTarget& target) {
+    const std::uint64_t choice = random_() % 4;
+    if (choice == 0) {
+      end_process(target);
+    } else if (choice == 1 || target.phase == TargetPhase::kDraining) {
+      // The target serves its flows until its process ends.
+      RegistrationCommand command;
+      command.ended = {target.incarnation()};
+      record(command);
+    } else {
       RegisteredTarget draining = target;
       draining.phase = TargetPhase::kDraining;
       draining.sequence = target.sequence + 1;
-      command.announced.push_back(draining);
+      announce(draining);
     }
-    record(steering_delta(state_, command, TokenIndex(state_)));
   }
 
   /// The target crashes and restarts with the same id and address, which ends its flows.
@@ -155,17 +214,22 @@
     target.sequence = 1;
     target.phase = TargetPhase::kReady;
     std::erase_if(flows_, [&](const OpenFlow& flow) { return flow.target == target.id; });
-    RegistrationCommand command;
-    command.announced.push_back(target);
-    record(steering_delta(state_, command, TokenIndex(state_)));
+    announce(target);
   }
 
   void catch_up(std::size_t i, std::size_t revision) {
     const std::size_t to = std::min(revision, history_.size());
-    if (to > revisions_[i]) {
-      revisions_[i] = to;
+    if (to <= revisions_[i]) {
+      return;
+    }
+    const bool uses_deltas = i % 2 == 0 && revisions_[i] > 0;
+    if (!uses_deltas) {
       balancers_[i].adopt(history_[to - 1], now_);
     }
+    for (std::size_t next = revisions_[i]; uses_deltas && next < to; ++next) {
+      balancers_[i].apply(deltas_[next], now_);
+    }
+    revisions_[i] = to;
   }
 
   void open_flow() {
@@ -228,6 +292,10 @@
   std::uint32_t last_caller_ = 0;
   SteeringState state_;
   std::vector<SteeringState> history_;
+  std::vector<SteeringDelta> deltas_;
+  RegistrationMonitor monitor_{RegistrationTiming{}};
+  Instant next_heartbeats_ = kStart;
+  Instant next_check_ = kStart;
   std::vector<FlowSteering> balancers_;
   /// Revision applied by each balancer.
   std::vector<std::size_t> revisions_;
--- a/tests/unit/test_fleet_digest.cc
+++ b/tests/unit/test_fleet_digest.cc
@@ -82,7 +82,7 @@
       steering.removed_targets.push_back(id);
     } else {
       steering.upserted_targets.push_back(
-          make_target(id, static_cast<std::uint32_t>(random() % 4)));
+          make_target(id, static_cast<std::uint32_t>(random() % 5)));
     }
   }
   return delta;
@@ -98,6 +98,12 @@
   return ids;
 }
 
+std::vector<TargetId> sorted(absl::Span<const TargetId> ids) {
+  std::vector<TargetId> result(ids.begin(), ids.end());
+  std::sort(result.begin(), result.end());
+  return result;
+}
+
 /// Checks that a view updated by deltas equals one rebuilt from the state.
 void check_same(const SteeringView& updated, const FleetState& fleet) {
   SteeringView rebuilt;
@@ -125,7 +131,8 @@
     REQUIRE((one == nullptr) == (other == nullptr));
     if (one != nullptr) {
       CHECK(*one == *other);
-      CHECK(updated.is_replaced(*one) == rebuilt.is_replaced(*other));
+      CHECK(updated.shares_address(*one) == rebuilt.shares_address(*other));
+      CHECK(sorted(updated.targets_at(one->address)) == sorted(rebuilt.targets_at(one->address)));
     }
   }
 }
--- a/tests/unit/test_steering_random.cc
+++ b/tests/unit/test_steering_random.cc
@@ -76,7 +76,7 @@
     target.pool = random_pool();
     target.address = {10, static_cast<std::uint16_t>(8000 + random_below(kTargets / 2))};
     target.slots = static_cast<std::uint32_t>(random_below(3));
-    target.phase = static_cast<TargetPhase>(random_below(4));
+    target.phase = static_cast<TargetPhase>(random_below(5));
     target.sequence = ++sequence_;
     return target;
   }
--- a/tests/unit/test_target_reachability.cc
+++ b/tests/unit/test_target_reachability.cc
@@ -189,8 +189,8 @@
   TEST_CASE("accepted probes do not count for a target whose address another one took over") {
     ProbedTargets targets;
     targets.behaviour = {{kSuspected, Behaviour::kAccepts}, {kReference, Behaviour::kAccepts}};
-    targets.reachability.on_replaced(kSuspected);
     targets.reachability.suspect(kSuspected, {kReference}, targets.now);
+    targets.reachability.on_replaced(kSuspected, targets.now);
     const auto detected = targets.run(milliseconds(100));
     REQUIRE(detected.size() == 1);
     CHECK(detected[0].reason == UnreachableReason::kReplaced);
