--- a/tests/platform/soak/soak.py
+++ b/tests/platform/soak/soak.py
@@ -24,6 +24,7 @@
 sys.path[:0] = [str(HERE), str(ROOT / "scripts")]
 
 from fault_proxy import FaultProxy  # noqa: E402  (the path must be set first)
+from address_reuse import AddressReuse  # noqa: E402
 from caller import REQUEST_KINDS  # noqa: E402
 from evacuations import EVACUATION_LIMIT  # noqa: E402
 from faults import Faults  # noqa: E402
@@ -92,18 +93,23 @@
         await evacuations.restore(zone)
 
 
-async def run_storm(world, until):
+async def run_address_reuse(world, seed, until):
+    if "address_reuse" not in world.excluded_actions:
+        await AddressReuse(world, seed).run(until)
+
+
+async def run_storm(world, seed, until):
     faults = Faults(world)
     await asyncio.gather(world.operator.storm_from_several(until), run_faults(world, faults, until),
-                         run_evacuations(world, until))
+                         run_evacuations(world, until), run_address_reuse(world, seed, until))
     await check_recovery(world, planned_only=False)
 
 
-async def run_zones(world, until):
+async def run_zones(world, seed, until):
     """Changes and evacuations, concurrently with isolated zones and a stream of other faults."""
     faults = Faults(world)
     streams = [[faults.change_configuration, faults.release]] + faults.zone_actions()
-    await asyncio.gather(run_evacuations(world, until),
+    await asyncio.gather(run_evacuations(world, until), run_address_reuse(world, seed, until),
                          *(run_actions(world, faults, actions, until) for actions in streams))
     await check_recovery(world, planned_only=False)
 
@@ -124,15 +130,15 @@
     await world.operator.read_at_end(10)
 
 
-async def run_scenario(world, arguments):
+async def run_scenario(world, seed, arguments):
     world.began = now()
     await world.start()
     until = now() + arguments.seconds
     if arguments.storm:
-        await run_storm(world, until)
+        await run_storm(world, seed, until)
         return
     if arguments.zones:
-        await run_zones(world, until)
+        await run_zones(world, seed, until)
         return
     faults = Faults(world)
     if arguments.sabotage:
@@ -142,6 +148,8 @@
     planned = run_actions(world, faults, faults.planned(), until)
     streams = 0 if arguments.planned else world.random.choice((1, 2))
     unplanned = [run_actions(world, faults, faults.unplanned(), until) for _ in range(streams)]
+    if not arguments.planned:
+        unplanned.append(run_address_reuse(world, seed, until))
     await asyncio.gather(planned, run_evacuations(world, until), *unplanned)
     await check_recovery(world, arguments.planned)
 
@@ -160,7 +168,7 @@
 
     async def act():
         try:
-            await run_scenario(world, arguments)
+            await run_scenario(world, seed, arguments)
         finally:
             await world.stop()
 
@@ -205,7 +213,7 @@
     parser.add_argument("--storm", action="store_true")
     parser.add_argument("--zones", action="store_true")
     parser.add_argument("--leave-out", action="append", default=[], metavar="ACTION",
-                        help="skip this action, or `evacuations`; may be repeated")
+                        help="skip this action, `evacuations` or `address_reuse`; may be repeated")
     parser.add_argument("--keep-logs", action="store_true", help="keep the logs of runs without violations as well")
     parser.add_argument("--sabotage", action="store_true",
                         help="delete all disks at once, beyond the fault model: violations must be reported")
