Timers use the monotonic clock

Cause: EventLoop put its timers on h2o's timeouts, which compare readings of the time of day. While it is behind an earlier reading nothing fires: no heartbeat, no check of the connection or of the state, no append, no election. After a step forward everything fires at once.

Change: the loop has an ordered queue of timers of its own and waits for sockets until the first is due. After a timer has fired, the next wait is zero, since h2o handles events of sockets that an action used only after a wait. EventLoop::run_once takes the place of h2o_evloop_run in the tests and the operator's command, as timers now run outside of h2o.

Tests: unit.event_loop with a gettimeofday of its own. On the code before: "timers fire while the time of day is behind an earlier reading" fails (once 0, repeated 0 of 3), "timers do not fire early when the time of day jumps forward" fails (2 fired), "a timer that an action adds fires in a later iteration" does not end within 5 s. The other tests of these files call run_once instead of h2o_evloop_run; their checks are the same.

--- a/src/programs/api_client.cc
+++ b/src/programs/api_client.cc
@@ -72,7 +72,7 @@
   client_.send({method, server, path, body, token_},
                [&](HttpClient::Result received) { result = std::move(received); });
   while (!result) {
-    h2o_evloop_run(loop_.raw(), 50);
+    loop_.run_once(std::chrono::milliseconds(50));
   }
   return *result ? std::optional(**result) : std::nullopt;
 }
@@ -80,7 +80,7 @@
 void ApiClient::run_for(Duration duration) {
   const Instant end = monotonic_now() + duration;
   while (monotonic_now() < end) {
-    h2o_evloop_run(loop_.raw(), 20);
+    loop_.run_once(std::chrono::milliseconds(20));
   }
 }
 
--- a/src/tasks/event_loop.cc
+++ b/src/tasks/event_loop.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <optional>
 #include <utility>
 
 namespace gorsevalve {
@@ -10,7 +9,7 @@
 
 /// Longest wait of one iteration, which bounds the delay until `stop` from a signal handler takes
 /// effect.
-constexpr std::int32_t kMaxWaitMs = 100;
+constexpr Duration kMaxWait = std::chrono::milliseconds(100);
 
 }  // namespace
 
@@ -25,34 +24,6 @@
   return static_cast<std::uint64_t>(std::max<std::int64_t>(ms, 0));
 }
 
-/// One h2o timeout with its action. The entry must stay the first member: `on_timeout` casts it to
-/// the timer.
-struct EventLoop::Timer {
-  h2o_timeout_entry_t entry{};
-  h2o_timeout_t timeout{};
-  h2o_loop_t* loop = nullptr;
-  bool repeats = false;
-  /// Time of the loop when the timer fired; empty before.
-  std::optional<std::uint64_t> finished_at;
-  std::function<void()> action;
-
-  ~Timer() {
-    h2o_timeout_unlink(&entry);
-    h2o_timeout_dispose(loop, &timeout);
-  }
-
-  static void on_timeout(h2o_timeout_entry_t* entry) {
-    auto* timer = reinterpret_cast<Timer*>(entry);
-    if (timer->repeats) {
-      h2o_timeout_link(timer->loop, &timer->timeout, &timer->entry);
-    }
-    timer->action();
-    if (!timer->repeats) {
-      timer->finished_at = h2o_now(timer->loop);
-    }
-  }
-};
-
 /// An action queued by `post`. `message` must stay the first member.
 struct EventLoop::PostedAction {
   h2o_multithread_message_t message{};
@@ -70,34 +41,62 @@
 
 void EventLoop::run() {
   while (!stopping_.load()) {
-    h2o_evloop_run(loop_, kMaxWaitMs);
+    run_once(kMaxWait);
   }
 }
 
-void EventLoop::every(Duration interval, std::function<void()> action) {
-  after(interval, std::move(action));
-  timers_.back()->repeats = true;
+void EventLoop::run_once(Duration max_wait) {
+  h2o_evloop_run(loop_, wait_ms(max_wait));
+  may_have_pending_events_ = false;
+  run_due_timers();
+}
+
+std::int32_t EventLoop::wait_ms(Duration max_wait) const {
+  if (may_have_pending_events_) {
+    return 0;
+  }
+  Duration wait = max_wait;
+  if (!timers_.empty()) {
+    wait = std::min(wait, timers_.begin()->first.first - monotonic_now());
+  }
+  // Rounded up, so that the loop does not turn idly until a timer is due.
+  const auto milliseconds = std::chrono::ceil<std::chrono::milliseconds>(wait).count();
+  return static_cast<std::int32_t>(std::max<std::int64_t>(milliseconds, 0));
 }
 
-void EventLoop::drop_finished_timers() {
-  // h2o still refers to a fired timer while it runs sockets that became ready in the meantime. It
-  // drops the reference before its time advances.
-  const std::uint64_t now = h2o_now(loop_);
-  std::erase_if(timers_, [now](const std::unique_ptr<Timer>& timer) {
-    return timer->finished_at && *timer->finished_at != now;
-  });
+void EventLoop::every(Duration interval, std::function<void()> action) {
+  add_timer(interval, {interval, std::move(action)});
 }
 
 void EventLoop::after(Duration delay, std::function<void()> action) {
-  drop_finished_timers();
-  auto timer = std::make_unique<Timer>();
-  timer->loop = loop_;
-  timer->action = std::move(action);
-  timer->entry.cb = &Timer::on_timeout;
-  const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(delay).count();
-  h2o_timeout_init(loop_, &timer->timeout, static_cast<std::uint64_t>(milliseconds));
-  h2o_timeout_link(loop_, &timer->timeout, &timer->entry);
-  timers_.push_back(std::move(timer));
+  add_timer(delay, {Duration::zero(), std::move(action)});
+}
+
+void EventLoop::add_timer(Duration delay, Timer timer) {
+  timers_.emplace(TimerKey{monotonic_now() + delay, ++last_timer_}, std::move(timer));
+}
+
+void EventLoop::run_due_timers() {
+  if (timers_.empty()) {
+    return;
+  }
+  const Instant now = monotonic_now();
+  // Timers that an action adds wait for the next iteration, even if they are due.
+  const std::uint64_t last = last_timer_;
+  while (!timers_.empty() && timers_.begin()->first.first <= now &&
+         timers_.begin()->first.second <= last) {
+    run_timer(timers_.extract(timers_.begin()));
+  }
+}
+
+void EventLoop::run_timer(std::map<TimerKey, Timer>::node_type timer) {
+  may_have_pending_events_ = true;
+  if (timer.mapped().interval == Duration::zero()) {
+    timer.mapped().action();
+    return;
+  }
+  timer.key() = {monotonic_now() + timer.mapped().interval, ++last_timer_};
+  timers_.insert(std::move(timer)).position->second.action();
 }
 
 void EventLoop::post(std::function<void()> action) {
--- a/tests/unit/test_event_loop.cc
+++ b/tests/unit/test_event_loop.cc
@@ -1,8 +1,10 @@
 #include <doctest/doctest.h>
 #include <sys/socket.h>
+#include <sys/time.h>
 #include <unistd.h>
 
 #include <array>
+#include <ctime>
 #include <string>
 
 #include "free_endpoint.h"
@@ -19,7 +21,30 @@
 /// Limit of loop iterations, each at most 10 ms, so that a failing test ends.
 constexpr int kMaxTurns = 100;
 
+std::time_t time_of_day_offset_s = 0;
+
+/// Sets the time of day of this process forward or back until the end of the scope.
+struct TimeOfDayStep {
+  explicit TimeOfDayStep(std::time_t seconds) { time_of_day_offset_s = seconds; }
+  ~TimeOfDayStep() { time_of_day_offset_s = 0; }
+  TimeOfDayStep(const TimeOfDayStep&) = delete;
+  TimeOfDayStep& operator=(const TimeOfDayStep&) = delete;
+};
+
 }  // namespace
+}  // namespace gorsevalve
+
+/// Takes the place of the C library's function, which h2o calls.
+extern "C" int gettimeofday(timeval* time, void* /*zone*/) noexcept {
+  constexpr int kNanosecondsPerMicrosecond = 1000;
+  timespec now{};
+  clock_gettime(CLOCK_REALTIME, &now);
+  time->tv_sec = now.tv_sec + gorsevalve::time_of_day_offset_s;
+  time->tv_usec = now.tv_nsec / kNanosecondsPerMicrosecond;
+  return 0;
+}
+
+namespace gorsevalve {
 
 TEST_SUITE("event_loop") {
   TEST_CASE("a timer that a socket callback sets does not free a timer that h2o still uses") {
@@ -42,20 +67,69 @@
       });
     });
     for (int iteration = 0; iteration < kMaxTurns && context.fired == 0; ++iteration) {
-      h2o_evloop_run(loop.raw(), 10);
+      loop.run_once(milliseconds(10));
     }
     CHECK(context.fired == 1);
     h2o_socket_close(socket);
     ::close(pair[1]);
   }
 
+  TEST_CASE("timers fire while the time of day is behind an earlier reading") {
+    // Guards against a process that does nothing by timer for as long as the time of day was set
+    // back.
+    EventLoop loop;
+    int earlier = 0;
+    int once = 0;
+    int repeated = 0;
+    loop.after(milliseconds(1), [&] { ++earlier; });
+    h2o_evloop_run(loop.raw(), 0);
+    const TimeOfDayStep step(-6);
+    loop.after(milliseconds(1), [&] { ++once; });
+    loop.every(milliseconds(1), [&] { ++repeated; });
+    for (int iteration = 0; iteration < kMaxTurns && repeated < 3; ++iteration) {
+      loop.run_once(milliseconds(10));
+    }
+    CHECK(earlier == 1);
+    CHECK(once == 1);
+    CHECK(repeated == 3);
+  }
+
+  TEST_CASE("timers do not fire early when the time of day jumps forward") {
+    EventLoop loop;
+    int fired = 0;
+    loop.after(std::chrono::hours(1), [&] { ++fired; });
+    loop.every(std::chrono::hours(1), [&] { ++fired; });
+    h2o_evloop_run(loop.raw(), 0);
+    const TimeOfDayStep step(2 * 3600);
+    for (int iteration = 0; iteration < 3; ++iteration) {
+      loop.run_once(milliseconds(1));
+    }
+    CHECK(fired == 0);
+  }
+
+  TEST_CASE("a timer that an action adds fires in a later iteration") {
+    // Guards against a loop that never returns to its sockets.
+    EventLoop loop;
+    int fired = 0;
+    std::function<void()> again = [&] {
+      ++fired;
+      loop.after(milliseconds(0), again);
+    };
+    again();
+    for (int iteration = 1; iteration <= 3; ++iteration) {
+      loop.run_once(milliseconds(10));
+      CHECK(fired <= 1 + iteration);
+    }
+    CHECK(fired > 1);
+  }
+
   TEST_CASE("fired timers are freed") {
     EventLoop loop;
     int fired = 0;
     for (int timer = 0; timer < 50; ++timer) {
       loop.after(milliseconds(1), [&] { ++fired; });
       for (int iteration = 0; iteration < kMaxTurns && fired <= timer; ++iteration) {
-        h2o_evloop_run(loop.raw(), 10);
+        loop.run_once(milliseconds(10));
       }
     }
     CHECK(fired == 50);
@@ -77,7 +151,7 @@
       loop.every(milliseconds(1), [&] { ++fired; });
     }
     for (int iteration = 0; iteration < kMaxTurns && fired < 4; ++iteration) {
-      h2o_evloop_run(loop.raw(), 10);
+      loop.run_once(milliseconds(10));
     }
     CHECK(fired >= 4);
   }
@@ -97,14 +171,14 @@
     const std::string request = "GET / HTTP/1.1\r\nhost: a\r\n\r\n";
     REQUIRE(::send(client_socket, request.data(), request.size(), 0) > 0);
     for (int iteration = 0; iteration < kMaxTurns && request_count == 0; ++iteration) {
-      h2o_evloop_run(loop.raw(), 10);
+      loop.run_once(milliseconds(10));
     }
     REQUIRE(request_count == 1);
     server->reset();
     // The pending request is freed with its connection.
     ::close(client_socket);
     for (int iteration = 0; iteration < 5; ++iteration) {
-      h2o_evloop_run(loop.raw(), 10);
+      loop.run_once(milliseconds(10));
     }
     CHECK(request_count == 1);
   }
--- a/tests/unit/test_frame_network.cc
+++ b/tests/unit/test_frame_network.cc
@@ -41,10 +41,10 @@
   /// Runs the loop until the client has received `frames`, and some more iterations.
   void run_until_received(int frames) {
     for (int iteration = 0; iteration < kMaxTurns && received < frames; ++iteration) {
-      h2o_evloop_run(loop_.raw(), 10);
+      loop_.run_once(std::chrono::milliseconds(10));
     }
     for (int iteration = 0; iteration < 10; ++iteration) {
-      h2o_evloop_run(loop_.raw(), 1);
+      loop_.run_once(std::chrono::milliseconds(1));
     }
   }
 
@@ -96,7 +96,7 @@
       if (iteration == 3) {
         REQUIRE(server_network.listen(peer).has_value());
       }
-      h2o_evloop_run(loop.raw(), 10);
+      loop.run_once(std::chrono::milliseconds(10));
     }
     CHECK(received_frames == 1);
   }
@@ -117,7 +117,7 @@
     const sockaddr_in raw = to_sockaddr(address);
     REQUIRE(::connect(idle_socket, reinterpret_cast<const sockaddr*>(&raw), sizeof(raw)) == 0);
     for (int iteration = 0; iteration < kMaxTurns && !is_closed; ++iteration) {
-      h2o_evloop_run(loop.raw(), 10);
+      loop.run_once(std::chrono::milliseconds(10));
       char byte = 0;
       is_closed = ::recv(idle_socket, &byte, 1, MSG_DONTWAIT) == 0;
     }
@@ -160,7 +160,7 @@
       if (!received_request.empty()) {
         server_network.send(self, reply, false);
       }
-      h2o_evloop_run(loop.raw(), 10);
+      loop.run_once(std::chrono::milliseconds(10));
     }
     CHECK(received_request == "ask");
     CHECK(received_reply == "yes");
--- a/tests/unit/test_listener.cc
+++ b/tests/unit/test_listener.cc
@@ -71,7 +71,7 @@
 bool run_until(EventLoop& loop, Condition holds) {
   constexpr int kMaxIterations = 200;
   for (int iteration = 0; iteration < kMaxIterations && !holds(); ++iteration) {
-    h2o_evloop_run(loop.raw(), 50);
+    loop.run_once(std::chrono::milliseconds(50));
   }
   return holds();
 }
@@ -80,7 +80,7 @@
 int loop_iterations_in(EventLoop& loop, Duration time) {
   int iterations = 0;
   for (const Instant end = monotonic_now() + time; monotonic_now() < end; ++iterations) {
-    h2o_evloop_run(loop.raw(), 50);
+    loop.run_once(std::chrono::milliseconds(50));
   }
   return iterations;
 }
--- a/tests/unit/test_target_prober.cc
+++ b/tests/unit/test_target_prober.cc
@@ -52,7 +52,7 @@
     CHECK(prober.send(1, listening.address));
     CHECK(prober.send(2, closed.address));
     for (int iteration = 0; iteration < kMaxTurns && answers.size() < 2; ++iteration) {
-      h2o_evloop_run(loop.raw(), 10);
+      loop.run_once(std::chrono::milliseconds(10));
     }
     CHECK(answers == std::map<std::uint64_t, ProbeAnswer>{{1, ProbeAnswer::kAccepted},
                                                           {2, ProbeAnswer::kRefused}});
@@ -69,7 +69,7 @@
     std::uint64_t number = 0;
     for (int iteration = 0; iteration < 20; ++iteration) {
       prober.send(++number, full.address);
-      h2o_evloop_run(loop.raw(), 10);
+      loop.run_once(std::chrono::milliseconds(10));
     }
     const int accepted = answered;
     CHECK(accepted < 10);
