--- a/review/beyond/run.sh
+++ /dev/null
@@ -1,6 +0,0 @@
-#!/bin/sh
-# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: without the
-# disruption.
-cd "$(dirname "$0")" || exit 2
-export PYTHONDONTWRITEBYTECODE=1 PYTHONPATH=../standins-2
-exec timeout -k 5 115 python3 warm_up.py
