--- a/review/4/weights.py
+++ b/review/4/weights.py
@@ -11,7 +11,7 @@
 
 IS_TROUBLED = os.environ.get("TROUBLE", "1") != "0"
 ZONES = ["hall-a", "hall-b", "hall-c"]
-ROUTES = [(f"198.18.0.{number}", 8443) for number in range(1, 7)]
+ROUTES = [(f"127.18.0.{number}", 8443) for number in range(1, 7)]
 FLOWS_PER_S = 20
 # bounds.config_apply_ms and bounds.contact_ms of the sites, in seconds.
 CONFIG_APPLY_S = 3.0
--- a/review/5/shared_address.py
+++ b/review/5/shared_address.py
@@ -13,7 +13,7 @@
 
 IS_TROUBLED = os.environ.get("TROUBLE", "1") != "0"
 ZONES = ["hall-a", "hall-b", "hall-c"]
-ROUTE = ("198.18.0.1", 8443)
+ROUTE = ("127.18.0.1", 8443)
 # bounds.contact_ms, bounds.reuse_after_s of the site, and the length of its cuts.
 CONTACT_S = 5.0
 REUSE_AFTER_S = 2.0
