A target that was cut off is forwarded to again, whatever is registered at its address

Cause: after the cut the balancer's probes are accepted, but each answer at an address with two registrations counted as ambiguous, and an ambiguous answer restored nothing. Only the leader's finding about the address ended that; the cut is a gap in the heartbeats that it watches, so it comes about 5 s after the cut, and three probes after it.

Evidence: the balancer logs target_unreachable (silent) during the cut, no target_reachable after it, and decides target_unreachable 11 s later. Ruled out by the same logs: the log has the target as replaced (no decision target_replaced, no line of the leader), a zone's path counts as cut (no zone_path_cut), the balancer's path is bad (the same cut held without the old registration).

Change: an accepted probe is ambiguous only while the replicated phases say that the target is probably gone: it is silent for the leader, and another one at the address is ready. Accepted probes are counted meanwhile. Why this works: a running target is heard by the leader within a heartbeat after a cut, so three probes restore it, about 3 s after the cut; one that is gone isn't heard, so that its clients are still reset at once.

--- a/src/core/steering/flow_steering_refusals.cc
+++ b/src/core/steering/flow_steering_refusals.cc
@@ -178,8 +178,8 @@
     }
   } else {
     const RegisteredTarget* target = view_.target_by_id(reachability_.probed_target(number));
-    const bool is_shared = target != nullptr && view_.shares_address(*target);
-    const bool is_ambiguous = answer == ProbeAnswer::kAccepted && is_shared;
+    const bool is_ambiguous = answer == ProbeAnswer::kAccepted && target != nullptr &&
+                              view_.is_probably_replaced(*target);
     reachability_.on_answer(number, is_ambiguous ? ProbeAnswer::kAmbiguous : answer, now);
   }
 }
--- a/src/core/steering/steering_view.cc
+++ b/src/core/steering/steering_view.cc
@@ -217,6 +217,16 @@
   return pool != pools_.end() && frontend.reachable_pools.contains(pool->second);
 }
 
+bool SteeringView::is_probably_replaced(const RegisteredTarget& target) const {
+  if (target.phase != TargetPhase::kSilent) {
+    return false;
+  }
+  const absl::Span<const TargetId> claimants = targets_at(target.address);
+  return std::any_of(claimants.begin(), claimants.end(), [&](TargetId claimant) {
+    return targets_.at(claimant).target.phase == TargetPhase::kReady;
+  });
+}
+
 absl::Span<const TargetId> SteeringView::targets_at(const Endpoint& address) const {
   const auto found = by_address_.find(address);
   return found == by_address_.end() ? absl::Span<const TargetId>{} : found->second;
--- a/src/core/steering/target_reachability.cc
+++ b/src/core/steering/target_reachability.cc
@@ -259,12 +259,15 @@
     }
     return;
   }
-  const bool is_ambiguous = answer == ProbeAnswer::kAmbiguous;
-  const bool is_back = unreachable == unreachable_.end() ||
-                       (!is_ambiguous && ++unreachable->second.accepted >= kRequiredAccepts);
-  if (is_back) {
-    clear(target, now);
+  if (unreachable != unreachable_.end()) {
+    ++unreachable->second.accepted;
+    const bool is_back =
+        answer == ProbeAnswer::kAccepted && unreachable->second.accepted >= kRequiredAccepts;
+    if (!is_back) {
+      return;
+    }
   }
+  clear(target, now);
 }
 
 std::optional<UnreachableReason> TargetReachability::evaluate(const Suspicion& suspected,
--- a/src/core/steering/target_reachability.h
+++ b/src/core/steering/target_reachability.h
@@ -31,7 +31,8 @@
   kAccepted = 0,
   /// The host refuses connections at the address.
   kRefused = 1,
-  /// Something accepts connections at the address, which another target may hold.
+  /// Something accepts connections at the address, which another target probably holds. Does not
+  /// restore an unreachable target.
   kAmbiguous = 2,
 };
 
