Pools are selected by the weights in force alone

Cause: smooth weighted round robin keeps a credit for each part of a route, in units of its weights and by its position. The credits outlived the weights; with 90 and 10 before, the old part could be 40 flows ahead.

Ruled out: a balancer behind, a new service without targets.

Change: the only state between flows is a point of a sequence that fills the unit interval evenly (PoolSequence); the weights in force divide the interval. A weight of 0 has no part of the interval.

--- a/src/core/steering/flow_placement.cc
+++ b/src/core/steering/flow_placement.cc
@@ -10,6 +10,7 @@
 
 constexpr std::uint64_t kTieSalt = 0x7469650000ULL;
 constexpr std::uint64_t kSampleSalt = 0x73616d706c00ULL;
+constexpr std::uint64_t kPoolSalt = 0x706f6f6c0000ULL;
 constexpr std::uint64_t kRecoverySalt = 0x7265740000ULL;
 
 /// Reason to avoid a target regardless of its load; higher values are worse.
@@ -152,25 +153,14 @@
 }  // namespace
 
 void FlowPlacement::adopt(const SteeringView& view) {
-  absl::erase_if(credits_,
+  absl::erase_if(sequences_,
                  [&](const auto& entry) { return view.frontend(entry.first) == nullptr; });
 }
 
 std::uint32_t FlowPlacement::next_pool(const FrontendView& frontend) {
-  // Each share gains its weight in credit, and the selected share pays the total.
-  std::vector<std::int64_t>& credits = credits_[frontend.address];
-  credits.resize(frontend.shares.size(), 0);
-  std::int64_t total = 0;
-  std::size_t selected = 0;
-  for (std::size_t i = 0; i < frontend.shares.size(); ++i) {
-    total += frontend.shares[i].weight;
-    credits[i] += frontend.shares[i].weight;
-    if (credits[i] > credits[selected]) {
-      selected = i;
-    }
-  }
-  credits[selected] -= total;
-  return frontend.shares[selected].pool;
+  const std::uint64_t start = rendezvous_score(packed(frontend.address), 0, seed_ ^ kPoolSalt);
+  PoolSequence& sequence = sequences_.try_emplace(frontend.address, start).first->second;
+  return frontend.shares[sequence.next(frontend.shares)].pool;
 }
 
 const RegisteredTarget* FlowPlacement::place(const PlacementInputs& inputs,
--- a/src/core/steering/flow_placement.h
+++ b/src/core/steering/flow_placement.h
@@ -5,9 +5,9 @@
 #include <absl/container/flat_hash_map.h>
 
 #include <cstdint>
-#include <vector>
 
 #include "core/steering/client_packet.h"
+#include "core/steering/pool_sequence.h"
 #include "core/steering/steering_policy.h"
 #include "core/steering/steering_view.h"
 #include "core/steering/target_reachability.h"
@@ -38,7 +38,7 @@
 
 class FlowPlacement {
  public:
-  /// `seed` makes balancers break ties differently.
+  /// `seed` makes balancers select pools and break ties differently.
   FlowPlacement(std::uint64_t seed, const SteeringPolicy& policy) : seed_(seed), policy_(policy) {}
 
   /// Selects the target for a new flow, and `avoided` only if there is no other. Returns nullptr
@@ -47,7 +47,7 @@
   const RegisteredTarget* place(const PlacementInputs& inputs, const FrontendView& frontend,
                                 const ClientPacket& packet, TargetId avoided, Instant now);
   [[nodiscard]] const PlacementCounters& counters() const { return counters_; }
-  void on_frontend_dropped(const Endpoint& address) { credits_.erase(address); }
+  void on_frontend_dropped(const Endpoint& address) { sequences_.erase(address); }
   /// Removes frontends that are not in the view.
   void adopt(const SteeringView& view);
 
@@ -58,7 +58,7 @@
   /// Counts a rejected flow when targets of the frontend wait for their time slot.
   static void count_rejection(const PlacementInputs& inputs, const FrontendView& frontend,
                               Instant now);
-  /// The next pool by smooth weighted round robin.
+  /// The pool of the frontend's next new flow, by weight.
   std::uint32_t next_pool(const FrontendView& frontend);
   /// The best target of a pool. Large pools are sampled, and scanned as a whole only if the sample
   /// holds no healthy target.
@@ -69,8 +69,7 @@
   std::uint64_t seed_;
   SteeringPolicy policy_;
   PlacementCounters counters_;
-  /// Round-robin credit of each pool share of a frontend.
-  absl::flat_hash_map<Endpoint, std::vector<std::int64_t>> credits_;
+  absl::flat_hash_map<Endpoint, PoolSequence> sequences_;
 };
 
 }  // namespace gorsevalve
