A retransmitted opening packet goes where the settings in force send new flows

What callers could see: a client's first opening packet went to a target, the answer was lost, and before the retransmission a change took the weight from that target's service, or the service from the route. The retransmission went to the same target all the same, and the flow opened at the old service.

The check of the target asked whether open flows of the frontend may be there, which former services allow.

Change: it asks whether new flows may go there (SteeringView::may_open); otherwise the packet is placed anew.

--- a/src/core/steering/flow_steering.cc
+++ b/src/core/steering/flow_steering.cc
@@ -181,7 +181,7 @@
   if (entry != nullptr && entry->phase == FlowPhase::kOpening && packet.retransmissions > 0) {
     const RegisteredTarget* previous = view_.target_by_id(entry->target);
     const bool usable = previous != nullptr && previous->phase == TargetPhase::kReady &&
-                        view_.may_reach(frontend, *previous) && !view_.is_evacuated(*previous);
+                        view_.may_open(frontend, *previous) && !view_.is_evacuated(*previous);
     if (!entry->is_retransmitted) {
       entry->is_retransmitted = true;
       if (!may_be_local_congestion(entry->last_seen)) {
--- a/src/core/steering/steering_view.cc
+++ b/src/core/steering/steering_view.cc
@@ -217,6 +217,12 @@
   return pool != pools_.end() && frontend.reachable_pools.contains(pool->second);
 }
 
+bool SteeringView::may_open(const FrontendView& frontend, const RegisteredTarget& target) const {
+  return std::any_of(frontend.shares.begin(), frontend.shares.end(), [&](const PoolShare& share) {
+    return share.weight > 0 && is_in_pool(target.id, share.pool);
+  });
+}
+
 bool SteeringView::is_probably_replaced(const RegisteredTarget& target) const {
   if (target.phase != TargetPhase::kSilent) {
     return false;
--- a/src/core/steering/steering_view.h
+++ b/src/core/steering/steering_view.h
@@ -54,6 +54,8 @@
   [[nodiscard]] const RegisteredTarget* target_by_id(TargetId id) const;
   /// True when the target's pool is a current or former pool of the frontend.
   [[nodiscard]] bool may_reach(const FrontendView& frontend, const RegisteredTarget& target) const;
+  /// True when new flows of the frontend may go to the target's pool.
+  [[nodiscard]] bool may_open(const FrontendView& frontend, const RegisteredTarget& target) const;
   /// Targets that may hold an address, in unspecified order. Valid until the next `reset` or
   /// `apply`.
   [[nodiscard]] absl::Span<const TargetId> targets_at(const Endpoint& address) const;
--- a/tests/unit/test_pool_weights.cc
+++ b/tests/unit/test_pool_weights.cc
@@ -176,6 +176,20 @@
       CHECK(flows["beta"] <= 32);
     }
   }
+
+  TEST_CASE("a retransmitted opening packet doesn't return to a pool that lost its weight") {
+    // Guards against a flow that opens at the old service because its first opening packet, which
+    // came before the change, was sent there.
+    for (const Weights& changed :
+         {Weights{{"alpha", 0}, {"beta", 1}}, Weights{{"beta", 1}}, Weights{}}) {
+      for (const bool by_snapshot : {false, true}) {
+        FollowingBalancer balancer(7, {{"alpha", 1}, {"beta", 0}});
+        REQUIRE(balancer.send(opening(1)) == "alpha");
+        balancer.change_weights(changed, by_snapshot);
+        CHECK(balancer.send(opening(1, 1)) == (changed.empty() ? "" : "beta"));
+      }
+    }
+  }
 }
 
 }  // namespace gorsevalve
