The leader learns from balancers which target at an address is gone

What callers saw: a request on an idle flow of a crashed target whose address was given on waits until the leader has decided by heartbeats, about 6 s, although a balancer knew better: a flow had opened at the new target through it. It kept the finding to itself; other balancers only learnt that some balancer can't reach the target, probed the address, and its new holder accepted.

Change: an observation names the incarnation that is gone (TargetStatistics::replaced), followers pass it on, and the leader records it as replaced at its next check. The evidence is the one that balancers act on already: a target answered an opening packet that was sent to it after the balancer knew the other one. Since the record is final, one thing more is asked: the leader didn't hear that target last. Envelope version 11.

--- a/src/codec/envelope.cc
+++ b/src/codec/envelope.cc
@@ -13,7 +13,7 @@
 namespace {
 
 constexpr std::array<std::uint8_t, 3> kMagic = {'G', 'V', 'M'};
-constexpr std::uint8_t kVersion = 10;
+constexpr std::uint8_t kVersion = 11;
 /// Flag in the message type that marks a compressed body.
 constexpr std::uint8_t kCompressedFlag = 0x80;
 constexpr std::size_t kHeaderSize = 36;
--- a/src/core/control/address_holders.cc
+++ b/src/core/control/address_holders.cc
@@ -23,6 +23,10 @@
   });
 }
 
+bool AddressHolders::is_observed(const TargetIncarnation& target) const {
+  return std::find(observed_.begin(), observed_.end(), target) != observed_.end();
+}
+
 bool AddressHolders::is_holder(const std::vector<AddressClaim>& claims, const AddressClaim& last,
                                Candidate& candidate) const {
   const bool is_continued = candidate.incarnation == last.incarnation &&
@@ -39,15 +43,18 @@
   std::vector<TargetIncarnation> replaced;
   for (const auto& [address, claims] : shared) {
     const AddressClaim* last = heard_last(claims);
-    if (last == nullptr || !is_holder(claims, *last, candidates_[address])) {
+    if (last == nullptr) {
       continue;
     }
+    const bool is_decided = is_holder(claims, *last, candidates_[address]);
     for (const AddressClaim& claim : claims) {
-      if (claim.incarnation != last->incarnation) {
+      const bool is_other = claim.incarnation != last->incarnation;
+      if (is_other && (is_decided || is_observed(claim.incarnation))) {
         replaced.push_back(claim.incarnation);
       }
     }
   }
+  observed_.clear();
   return replaced;
 }
 
--- a/src/core/control/address_holders.h
+++ b/src/core/control/address_holders.h
@@ -2,8 +2,9 @@
 /// them are gone. An address belongs to one process at a time, but neither the order of
 /// registrations nor their phases show to which: a target that crashed stays registered until its
 /// heartbeats time out, one that announced its end keeps serving its flows, and a delayed heartbeat
-/// registers a target that crashed before. Heartbeats that continue do show it. Until they have
-/// decided, no target is reported. Not persisted; a new leader starts to observe anew.
+/// registers a target that crashed before. Two things do show it: heartbeats that continue, and a
+/// flow that a balancer saw opening at a target. Until one of them has decided, no target is
+/// reported. Not persisted; a new leader starts to observe anew.
 #pragma once
 
 #include <map>
@@ -36,7 +37,14 @@
   /// delayed heartbeats arrive.
   explicit AddressHolders(Duration observation_time) : observation_time_(observation_time) {}
 
-  void clear() { candidates_.clear(); }
+  void clear() {
+    candidates_.clear();
+    observed_.clear();
+  }
+  /// A balancer saw a flow opening at another target of the address, after it knew this one. Counts
+  /// at the next `find_replaced`, unless this target was heard last: the balancer may have taken a
+  /// packet of an earlier flow for the answer.
+  void on_replacement_observed(const TargetIncarnation& target) { observed_.push_back(target); }
   /// Returns the incarnations whose address another target holds, ordered by address. Call
   /// regularly, more often than targets announce themselves.
   [[nodiscard]] std::vector<TargetIncarnation> find_replaced(const AddressClaims& shared);
@@ -54,12 +62,15 @@
   static const AddressClaim* heard_last(const std::vector<AddressClaim>& claims);
   /// Returns true if another target than the candidate was heard in the candidate's time.
   static bool is_other_heard(const std::vector<AddressClaim>& claims, const Candidate& candidate);
+  [[nodiscard]] bool is_observed(const TargetIncarnation& target) const;
   /// Updates the candidate of an address. Returns true if it holds the address.
   [[nodiscard]] bool is_holder(const std::vector<AddressClaim>& claims, const AddressClaim& last,
                                Candidate& candidate) const;
 
   Duration observation_time_;
   std::map<Endpoint, Candidate> candidates_;
+  /// Targets that a balancer saw replaced since the last `find_replaced`.
+  std::vector<TargetIncarnation> observed_;
 };
 
 }  // namespace gorsevalve
--- a/src/core/control/control_node.cc
+++ b/src/core/control/control_node.cc
@@ -109,6 +109,9 @@
   }
   const HeartbeatReply reply = reply_to(heartbeat, now);
   health_aggregator_.add(heartbeat.observations, now);
+  if (replica_->has_lease(now)) {
+    registrations_.on_observations(heartbeat.observations, state_.fleet().steering);
+  }
   refusal_relay_.on_observations(from, heartbeat.member.zone, heartbeat.observations, now);
   relay_refusals(now);
   output_.send_node(from, reply);
@@ -138,6 +141,7 @@
                                       now - std::chrono::milliseconds(target.age_ms));
   }
   health_aggregator_.add(report.observations, now);
+  registrations_.on_observations(report.observations, state_.fleet().steering);
   ranking_.on_reported(report.balancers, now);
   const std::vector<Endpoint> may_stop =
       MembershipController::members_safe_to_stop(state_.fleet(), nodes_);
--- a/src/core/control/registration_monitor.cc
+++ b/src/core/control/registration_monitor.cc
@@ -69,6 +69,25 @@
   return shared;
 }
 
+void RegistrationMonitor::on_observations(const std::vector<TargetStatistics>& observations,
+                                          const SteeringState& state) {
+  absl::flat_hash_map<FlowToken, TargetStart> replaced;
+  for (const TargetStatistics& observed : observations) {
+    if (observed.replaced) {
+      replaced[observed.token] = *observed.replaced;
+    }
+  }
+  if (replaced.empty()) {
+    return;
+  }
+  for (const auto& [id, target] : state.targets) {
+    const auto found = replaced.find(target.token);
+    if (found != replaced.end() && found->second == target.started_at_ms) {
+      holders_.on_replacement_observed(target.incarnation());
+    }
+  }
+}
+
 Instant RegistrationMonitor::ended_at(const RegisteredTarget& target, Instant now) {
   TimedIncarnation& entry =
       ended_.try_emplace(target.id, TimedIncarnation{target.started_at_ms, now}).first->second;
--- a/src/core/control/registration_monitor.h
+++ b/src/core/control/registration_monitor.h
@@ -6,9 +6,11 @@
 #include <absl/container/flat_hash_map.h>
 
 #include <optional>
+#include <vector>
 
 #include "core/control/address_holders.h"
 #include "core/control/steering_commands.h"
+#include "model/target_health.h"
 #include "model/time.h"
 
 namespace gorsevalve {
@@ -35,6 +37,9 @@
   /// Records an announcement reported by a follower. A follower that lags behind may report an
   /// earlier incarnation.
   void on_follower_report(const TargetIncarnation& target_incarnation, Instant received_at);
+  /// Records targets that balancers saw replaced.
+  void on_observations(const std::vector<TargetStatistics>& observations,
+                       const SteeringState& state);
   /// Returns the phase changes that are due; empty if there are none.
   [[nodiscard]] RegistrationCommand check_timeouts(const SteeringState& state, Instant now);
 
--- a/src/core/control/target_health_aggregator.cc
+++ b/src/core/control/target_health_aggregator.cc
@@ -101,6 +101,9 @@
     unreported.retransmitted_flows += observed.retransmitted_flows;
     unreported.unreachable += observed.unreachable;
     unreported.refused_probes += observed.refused_probes;
+    if (observed.replaced) {
+      unreported.replaced = observed.replaced;
+    }
   }
 }
 
--- a/src/core/steering/flow_steering_refusals.cc
+++ b/src/core/steering/flow_steering_refusals.cc
@@ -49,6 +49,7 @@
     const TargetScore* score = scores_.find(other);
     if (other != holder && score != nullptr && score->at_address_since <= sent_at) {
       reachability_.on_replaced(other, now);
+      scores_.on_replaced(other);
     }
   }
 }
--- a/src/core/steering/target_scores.cc
+++ b/src/core/steering/target_scores.cc
@@ -213,6 +213,8 @@
   has_failures_ = true;
 }
 
+void TargetScores::on_replaced(TargetId id) { unreported(id).replaced = at(id).started_at_ms; }
+
 double TargetScores::preference(const RegisteredTarget& target) const {
   const double zone_weight = !zone_.empty() && target.zone == zone_ ? policy_.near_preference : 1;
   const TargetScore* score = find(target.id);
--- a/src/core/steering/target_scores.h
+++ b/src/core/steering/target_scores.h
@@ -74,6 +74,8 @@
   void on_refused_probe(TargetId id);
   /// Probes showed that this balancer cannot reach the target.
   void on_unreachable(TargetId id, Instant now);
+  /// A flow opened at another target of the target's address.
+  void on_replaced(TargetId id);
   void on_request(TargetId id);
   /// A request got no response within the expected response time.
   void on_stalled_request(TargetId id);
--- a/src/model/target_health.h
+++ b/src/model/target_health.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -27,13 +28,16 @@
   std::uint32_t unreachable = 0;
   /// Probes that the target refused because it accepts no flows at the moment.
   std::uint32_t refused_probes = 0;
+  /// Start of the incarnation that is gone, because another target at its address answered the
+  /// balancer; nullopt if none did.
+  std::optional<TargetStart> replaced{};
 
   friend bool operator==(const TargetStatistics&, const TargetStatistics&) = default;
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
     archive& token& requests& stalled_requests& new_flows& refused_flows& retransmitted_flows&
-        unreachable& refused_probes;
+        unreachable& refused_probes& replaced;
   }
 };
 
--- a/tests/unit/address_world.h
+++ b/tests/unit/address_world.h
@@ -60,7 +60,9 @@
     Instant at;
   };
 
-  explicit AddressWorld(std::size_t lives) : lives_(lives + 1) {
+  /// With `has_clients`, flows open at the running target, and the leader learns that others at the
+  /// address are gone.
+  AddressWorld(std::size_t lives, bool has_clients) : has_clients_(has_clients), lives_(lives + 1) {
     SteeringSettings settings;
     settings.version = 1;
     settings.idle_timeout_ms = 60000;
@@ -226,13 +228,31 @@
     commit(command);
   }
 
+  /// A balancer reports what a flow that opened at the running target shows. It knows the others.
+  void report_replaced() {
+    std::vector<TargetStatistics> observations;
+    for (TargetId id = 1; id < lives_.size(); ++id) {
+      if (id != running() && is_registered(id)) {
+        TargetStatistics observed;
+        observed.token = state_.targets.at(id).token;
+        observed.replaced = TargetStart{0};
+        observations.push_back(observed);
+      }
+    }
+    monitor_.on_observations(observations, state_);
+  }
+
   void send_heartbeats() {
+    if (has_clients_ && running() != 0 && is_registered(running())) {
+      report_replaced();
+    }
     monitor_.on_announcement({kReference, 0}, now_);
     if (const TargetId id = announcing(); id != 0 && id != unheard_) {
       receive(make_announcement(id));
     }
   }
 
+  bool has_clients_;
   std::vector<Life> lives_;
   SteeringState state_;
   std::vector<Revision> revisions_;
--- a/tests/unit/test_address_cuts.cc
+++ b/tests/unit/test_address_cuts.cc
@@ -160,7 +160,7 @@
 /// The targets, the balancers, and the cut.
 class CutWorld {
  public:
-  explicit CutWorld(std::size_t lives) : world_(lives), balancers_(world_) {}
+  CutWorld(std::size_t lives, bool has_clients) : world_(lives, has_clients), balancers_(world_) {}
 
   [[nodiscard]] const AddressWorld& world() const { return world_; }
   [[nodiscard]] bool is_cut() const { return cut_ != nullptr; }
@@ -228,9 +228,9 @@
 /// cuts.
 class CutOrders {
  public:
-  CutOrders(std::vector<Script> scripts, const Cut& cut, int cuts)
+  CutOrders(std::vector<Script> scripts, const Cut& cut, int cuts, bool has_clients)
       : scripts_(std::move(scripts)), cut_(cut) {
-    play(CutWorld(scripts_.size()), 0, 0, cuts, {});
+    play(CutWorld(scripts_.size(), has_clients), 0, 0, cuts, {});
   }
 
   [[nodiscard]] std::size_t count() const { return count_; }
@@ -311,9 +311,11 @@
 std::size_t check_orders(const std::vector<Script>& scripts, int cuts) {
   std::size_t orders = 0;
   for (const Cut& cut : kCuts) {
-    const CutOrders result(scripts, cut, cuts);
-    orders += result.count();
-    CHECK_MESSAGE(result.failure().empty(), result.failure());
+    for (const bool has_clients : {false, true}) {
+      const CutOrders result(scripts, cut, cuts, has_clients);
+      orders += result.count();
+      CHECK_MESSAGE(result.failure().empty(), result.failure());
+    }
   }
   return orders;
 }
--- a/tests/unit/test_address_holders.cc
+++ b/tests/unit/test_address_holders.cc
@@ -16,6 +16,7 @@
                            TargetPhase phase = TargetPhase::kReady) {
   RegisteredTarget target;
   target.id = id;
+  target.token = static_cast<FlowToken>(100 + id);
   target.pool = id % 2 == 0 ? "beta" : "alpha";
   target.address = address;
   target.phase = phase;
@@ -149,6 +150,46 @@
     CHECK(leader.monitor.check_timeouts(leader.state, kStart).removed.empty());
     CHECK(leader.monitor.check_timeouts(leader.state, kStart + seconds(121)).removed.size() == 1);
   }
+
+  TEST_CASE("a target is replaced once a balancer saw a flow opening at another one") {
+    // Guards against letting clients of a target that crashed wait for as long as heartbeats need
+    // to show it, although a balancer knows already.
+    Leader leader;
+    leader.state.put(target_at(1, kAddress));
+    leader.state.put(target_at(2, kAddress));
+    leader.hear(1);
+    leader.now += seconds(1);
+    leader.hear(2);
+    TargetStatistics observed;
+    observed.token = leader.state.targets.at(1).token;
+    observed.replaced = 0;
+    SUBCASE("the one that was heard last stays") {
+      leader.now += milliseconds(10);
+      leader.hear(1);
+      leader.monitor.on_observations({observed}, leader.state);
+      CHECK(leader.run(milliseconds(500), {}).empty());
+    }
+    SUBCASE("another incarnation stays") {
+      observed.replaced = 77;
+      leader.monitor.on_observations({observed}, leader.state);
+      CHECK(leader.run(milliseconds(500), {}).empty());
+    }
+    SUBCASE("a new leader needs a new observation") {
+      leader.monitor.on_observations({observed}, leader.state);
+      leader.monitor.on_elected(leader.now);
+      leader.hear(2);
+      CHECK(leader.run(milliseconds(500), {}).empty());
+    }
+    SUBCASE("it is replaced at the next check") {
+      leader.monitor.on_observations({observed}, leader.state);
+      CHECK(leader.run(milliseconds(500), {}) == std::vector<TargetId>{1});
+    }
+    SUBCASE("at an address of its own it stays") {
+      leader.state.targets.at(2).address.port += 1;
+      leader.monitor.on_observations({observed}, leader.state);
+      CHECK(leader.run(milliseconds(500), {}).empty());
+    }
+  }
 }
 
 }  // namespace gorsevalve
--- a/tests/unit/test_address_orders.cc
+++ b/tests/unit/test_address_orders.cc
@@ -148,8 +148,9 @@
 /// which heartbeats are missing.
 class Orders {
  public:
-  explicit Orders(std::vector<Script> scripts) : scripts_(std::move(scripts)) {
-    play(AddressWorld(scripts_.size()), 0, 0, true, {});
+  explicit Orders(std::vector<Script> scripts, bool has_clients = false)
+      : scripts_(std::move(scripts)) {
+    play(AddressWorld(scripts_.size(), has_clients), 0, 0, true, {});
   }
 
   [[nodiscard]] std::size_t count() const { return count_; }
@@ -216,9 +217,11 @@
     std::size_t orders = 0;
     for (const Script& first : scripts(true, false)) {
       for (const Script& second : scripts(true, true)) {
-        const Orders result({first, second});
-        orders += result.count();
-        CHECK_MESSAGE(result.failure().empty(), result.failure());
+        for (const bool has_clients : {false, true}) {
+          const Orders result({first, second}, has_clients);
+          orders += result.count();
+          CHECK_MESSAGE(result.failure().empty(), result.failure());
+        }
       }
     }
     MESSAGE("orders of two targets: " << orders);
--- a/tests/unit/test_control_node.cc
+++ b/tests/unit/test_control_node.cc
@@ -241,6 +241,38 @@
     }
   }
 
+  TEST_CASE("the leader learns from a follower's balancer that a target was replaced") {
+    // Guards against observations that only the leader's own balancers can report.
+    Cluster cluster;
+    const std::uint32_t leader = cluster.elect();
+    const std::uint32_t follower = leader == 1 ? 2 : 1;
+    SteeringCommand command;
+    command.settings.version = 1;
+    command.settings.pools = {{"alpha", 9}};
+    REQUIRE(cluster.node(leader).propose(command, cluster.now()));
+    for (const TargetId id : {5, 6}) {
+      REQUIRE(register_target(cluster.node(leader), id, cluster.now()));
+    }
+    cluster.run(milliseconds(200));
+    RegisteredTarget present = make_announcement(1);
+    present.id = 6;
+    CHECK(cluster.node(leader).on_announcement(present, cluster.now()) ==
+          AnnouncementStatus::kCommitted);
+    const SteeringState& state = cluster.node(leader).state().fleet().steering;
+    NodeHeartbeat heartbeat;
+    heartbeat.member.address = {100 + follower, 6000};
+    heartbeat.member.state = MemberState::kObserver;
+    TargetStatistics observed;
+    observed.token = state.targets.at(5).token;
+    observed.unreachable = 1;
+    observed.replaced = 0;
+    heartbeat.observations = {observed};
+    cluster.node(follower).on_node_message({100 + follower, 6000}, heartbeat, cluster.now());
+    cluster.run(milliseconds(1200));
+    CHECK(state.targets.at(5).phase == TargetPhase::kReplaced);
+    CHECK(state.targets.at(6).phase == TargetPhase::kReady);
+  }
+
   TEST_CASE("a refused probe is relayed to the balancers of all replicas even without a leader") {
     Cluster cluster;
     for (std::uint32_t i = 1; i <= 3; ++i) {
--- a/tests/unit/test_shared_addresses.cc
+++ b/tests/unit/test_shared_addresses.cc
@@ -1,6 +1,8 @@
 /// FlowSteering with several targets registered at one address.
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 #include "core/steering/flow_steering.h"
 #include "steering_fixture.h"
 
@@ -88,6 +90,13 @@
     REQUIRE(detected.size() == 1);
     CHECK(detected[0].target == test.failing);
     CHECK(detected[0].reason == UnreachableReason::kReplaced);
+    // The leader learns it from the next report.
+    const auto observations = test.steering().take_observations();
+    const auto gone = std::find_if(
+        observations.begin(), observations.end(),
+        [&](const TargetStatistics& one) { return one.token == test.token(test.failing); });
+    REQUIRE(gone != observations.end());
+    CHECK(gone->replaced == TargetStart{0});
     const auto decision = test.send_request(1, test.failing);
     CHECK(decision.action == SteeringAction::kReset);
     CHECK(decision.reason == SteeringReason::kTargetUnreachable);
--- a/tests/unit/test_target_health_aggregator.cc
+++ b/tests/unit/test_target_health_aggregator.cc
@@ -177,6 +177,14 @@
     CHECK(observed[1] == requests(2, 7));
     CHECK_FALSE(aggregator.has_failures());
     CHECK(aggregator.take_observations(kStart + milliseconds(700)).empty());
+    TargetStatistics replaced = requests(3, 0);
+    replaced.replaced = 50;
+    aggregator.add({replaced}, kStart + milliseconds(800));
+    aggregator.add({requests(3, 2)}, kStart + milliseconds(800));
+    const auto later = aggregator.take_observations(kStart + milliseconds(900));
+    REQUIRE(later.size() == 1);
+    CHECK(later[0].replaced == 50);
+    CHECK(later[0].requests == 2);
   }
 }
 
