--- a/src/core/control/registration_monitor.cc
+++ b/src/core/control/registration_monitor.cc
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <string_view>
-#include <utility>
 
 namespace gorsevalve {
 
--- a/tests/unit/test_flow_steering.cc
+++ b/tests/unit/test_flow_steering.cc
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <map>
 
-#include "core/control/steering_commands.h"
-#include "core/steering/buffered_packets.h"
 #include "core/steering/flow_steering.h"
 #include "steering_fixture.h"
 
@@ -452,84 +450,6 @@
     CHECK(test.steering.scores().find(1)->open_flows == 0);
   }
 
-  TEST_CASE("buffered packets expire with their clients and are bounded in number") {
-    SteeringBalancer test(make_state({{"alpha", 1}}, {target(1, "alpha")}));
-    SteeringPolicy policy;
-    policy.hold_ms = 1200;
-    BufferedPackets buffer(policy);
-    const Bytes bytes = {1};
-    std::vector<std::uint16_t> taken;
-    const auto take = [&](const BufferedPacket& packet) {
-      taken.push_back(packet.packet.flow.client.port);
-      return false;
-    };
-    // Clients of the frontend time out after one second.
-    buffer.add(opening(1), bytes, kStart);
-    buffer.add(opening(2), bytes, kStart + milliseconds(900));
-    buffer.release(test.steering, kStart + milliseconds(1100), take);
-    CHECK(taken == std::vector<std::uint16_t>{2});
-    // A packet that is not taken stays buffered and keeps its age.
-    CHECK(buffer.size() == 1);
-    buffer.release(test.steering, kStart + milliseconds(2000), take);
-    CHECK(buffer.size() == 0);
-    // A retransmission carries the age of its flow; an unknown frontend gets the policy's limit.
-    ClientPacket retransmission = opening(3, 2);
-    retransmission.age = milliseconds(600);
-    buffer.add(retransmission, bytes, kStart);
-    ClientPacket unknown = opening(4);
-    unknown.flow.frontend = {5, 5};
-    buffer.add(unknown, bytes, kStart);
-    buffer.release(test.steering, kStart + milliseconds(500), take);
-    CHECK(buffer.size() == 1);
-    buffer.release(test.steering, kStart + milliseconds(1199), take);
-    CHECK(buffer.size() == 1);
-    buffer.release(test.steering, kStart + milliseconds(1201), take);
-    CHECK(buffer.size() == 0);
-    for (std::size_t i = 0; i < BufferedPackets::kMaxPackets + 5; ++i) {
-      buffer.add(opening(static_cast<std::uint16_t>(i)), bytes, kStart);
-    }
-    CHECK(buffer.size() == BufferedPackets::kMaxPackets);
-    policy.hold_ms = 0;
-    BufferedPackets none(policy);
-    none.add(opening(1), bytes, kStart);
-    CHECK(none.size() == 0);
-  }
-
-  TEST_CASE("buffered packets are released in order of arrival") {
-    SteeringBalancer test(make_state({{"alpha", 1}}, {target(1, "alpha")}));
-    BufferedPackets buffer(SteeringPolicy{});
-    for (const std::uint16_t port : {3, 1, 2}) {
-      buffer.add(opening(port), {}, kStart + milliseconds(port));
-    }
-    std::vector<std::uint16_t> order;
-    buffer.release(test.steering, kStart + milliseconds(10), [&](const BufferedPacket& packet) {
-      order.push_back(packet.packet.flow.client.port);
-      return packet.packet.flow.client.port != 1;
-    });
-    CHECK(order == std::vector<std::uint16_t>{3, 1, 2});
-    // A packet that is not taken stays buffered.
-    CHECK(buffer.size() == 1);
-  }
-
-  TEST_CASE("a retransmitted opening packet replaces the buffered one and keeps its age") {
-    SteeringBalancer test(make_state({{"alpha", 1}}, {target(1, "alpha")}));
-    BufferedPackets buffer(SteeringPolicy{});
-    const Bytes first = {1};
-    const Bytes retransmission = {2};
-    buffer.add(opening(1), first, kStart);
-    buffer.add(opening(1, 1), retransmission, kStart + milliseconds(200));
-    CHECK(buffer.size() == 1);
-    buffer.release(test.steering, kStart + milliseconds(210), [&](const BufferedPacket& packet) {
-      CHECK(packet.bytes == retransmission);
-      CHECK(packet.sent_at == kStart);
-      return test.steering.on_packet(packet.packet, kStart).action == SteeringAction::kForward;
-    });
-    CHECK(buffer.size() == 0);
-    // One flow is open, and the retransmission does not count against its target.
-    CHECK(test.steering.flows() == 1);
-    CHECK(test.steering.scores().find(1)->unanswered == 0);
-  }
-
   TEST_CASE("retransmitted data triggers probes, and flows of a failed target are reset") {
     // Requests on open flows of a failed target must not wait for their deadlines.
     FailingTarget test;
@@ -574,99 +494,6 @@
     }
   }
 
-  TEST_CASE("targets of an evacuated zone get no new flow, with a snapshot and with a delta") {
-    EvacuatedState test;
-    SteeringBalancer by_snapshot(test.evacuated());
-    SteeringBalancer by_delta(test.state);
-    by_delta.steering.apply(test.change({{"zone-a", 2}}), kStart);
-    for (std::uint16_t port = 1; port < 100; ++port) {
-      for (SteeringBalancer* balancer : {&by_snapshot, &by_delta}) {
-        const auto decision = balancer->steering.on_packet(opening(port), kStart);
-        REQUIRE(decision.action == SteeringAction::kForward);
-        CHECK(decision.target->zone == "zone-b");
-      }
-    }
-  }
-
-  TEST_CASE("a target that announces itself in an evacuated zone gets no new flow") {
-    EvacuatedState test;
-    SteeringBalancer balancer(test.evacuated());
-    SteeringDelta delta;
-    delta.upserted_targets = {target(1, "alpha"), target(9, "alpha")};
-    delta.upserted_targets[0].zone = delta.upserted_targets[1].zone = "zone-a";
-    balancer.steering.apply(delta, kStart);
-    for (std::uint16_t port = 1; port < 100; ++port) {
-      CHECK(balancer.steering.on_packet(opening(port), kStart).target->id == 3);
-    }
-  }
-
-  TEST_CASE("a retransmitted opening packet goes to another zone once the first one is evacuated") {
-    EvacuatedState test;
-    SteeringBalancer balancer(test.state);
-    for (std::uint16_t port = 1; port < 100; ++port) {
-      balancer.steering.on_packet(opening(port), kStart);
-    }
-    balancer.steering.apply(test.change({{"zone-a", 2}}), kStart);
-    for (std::uint16_t port = 1; port < 100; ++port) {
-      const auto retransmission =
-          balancer.steering.on_packet(opening(port, 1), kStart + milliseconds(200));
-      REQUIRE(retransmission.action == SteeringAction::kForward);
-      CHECK(retransmission.target->zone == "zone-b");
-    }
-  }
-
-  TEST_CASE("a buffered opening packet does not go to a zone evacuated later") {
-    EvacuatedState test;
-    FlowSteering steering{7};
-    BufferedPackets buffer{SteeringPolicy{}};
-    steering.adopt(test.state, kStart);
-    REQUIRE(steering.on_packet(opening(1), kStart).reason == SteeringReason::kNoState);
-    const Bytes bytes(32);
-    buffer.add(opening(1), bytes, kStart);
-    steering.apply(test.change({{"zone-a", 2}}), kStart);
-    steering.confirm(kStart);
-    std::vector<std::string> zones;
-    buffer.release(steering, kStart, [&](const BufferedPacket& packet) {
-      zones.push_back(steering.on_packet(packet.packet, kStart).target->zone);
-      return true;
-    });
-    CHECK(zones == std::vector<std::string>{"zone-b"});
-  }
-
-  TEST_CASE("open flows stay in an evacuated zone") {
-    EvacuatedState test;
-    SteeringBalancer balancer(test.state);
-    balancer.steering.on_packet(established(1, 101), kStart);
-    balancer.steering.apply(test.change({{"zone-a", 2}}), kStart);
-    const auto decision = balancer.steering.on_packet(established(1, 101, 2, 100), kStart);
-    CHECK(decision.action == SteeringAction::kForward);
-    CHECK(decision.target->id == 1);
-  }
-
-  TEST_CASE("new flows and retransmissions are reset while all zones are evacuated") {
-    EvacuatedState test;
-    SteeringBalancer balancer(test.state);
-    balancer.steering.on_packet(opening(1), kStart);
-    balancer.steering.apply(test.change({{"zone-a", 2}, {"zone-b", 3}}), kStart);
-    for (const auto& packet : {opening(1, 1), opening(2)}) {
-      const auto decision = balancer.steering.on_packet(packet, kStart + milliseconds(200));
-      CHECK(decision.action == SteeringAction::kReset);
-      CHECK(decision.reason == SteeringReason::kNoTarget);
-    }
-  }
-
-  TEST_CASE("a zone whose evacuation ends gets its share of new flows") {
-    EvacuatedState test;
-    SteeringBalancer balancer(test.evacuated());
-    balancer.steering.apply(test.change({}), kStart);
-    std::map<std::string, int> flows;
-    for (std::uint16_t port = 1; port <= 99; ++port) {
-      ++flows[balancer.steering.on_packet(opening(port), kStart).target->zone];
-    }
-    CHECK(flows["zone-a"] == 66);
-    CHECK(flows["zone-b"] == 33);
-  }
-
   TEST_CASE("a target that warms up again gets fewer flows until it is warm") {
     SteeringState state = make_state({{"alpha", 1}}, {target(1, "alpha"), target(2, "alpha")});
     SteeringBalancer balancer(state);
