--- a/src/model/target_health.h
+++ b/src/model/target_health.h
@@ -1,5 +1,6 @@
 /// Target health exchanged between balancers and control replicas: observations of single balancers
-/// and their aggregate. Used only to place new flows; correctness does not depend on it.
+/// and their aggregate. Used to place new flows, and to learn which targets were replaced;
+/// correctness depends on the latter only.
 #pragma once
 
 #include <cstdint>
