--- a/src/core/steering/steering_view.h
+++ b/src/core/steering/steering_view.h
@@ -64,8 +64,8 @@
     return targets_at(target.address).size() > 1;
   }
   /// True when the leader no longer receives heartbeats of the target, but does receive those of
-  /// another one at its address. Depends on the replicated phases only, so that a balancer decides
-  /// alike whatever it learned before, and false again once the target is heard.
+  /// another one at its address. Depends on the replicated phases only, so that all balancers with
+  /// the same state agree.
   [[nodiscard]] bool is_probably_replaced(const RegisteredTarget& target) const;
   /// True when an operator's evacuation command keeps new flows from the target's zone.
   [[nodiscard]] bool is_evacuated(const RegisteredTarget& target) const {
