Soak: cuts of targets draw from their own generator; an address is given on in one place

Cause: TargetCuts picked its targets with the generator of AddressReuse, so that the actions of that stream did change with the new one, against what the module says; and both streams had the same six lines that crash a target and give its address on.

Change: pick_target takes the generator of its caller, give_address_on serves both. A comment on SERVING_TIME that wasn't true goes.

--- a/tests/platform/soak/address_reuse.py
+++ b/tests/platform/soak/address_reuse.py
@@ -36,10 +36,10 @@
             await asyncio.sleep(self.random.uniform(*PAUSE))
         await asyncio.gather(*actions)
 
-    def pick_target(self):
+    def pick_target(self, generator):
         """Returns a ready target whose service has others outside of evacuated zones."""
         ready = [target for target in self.world.targets if target.state == "ready" and self.has_alternatives(target)]
-        return self.random.choice(ready) if ready else None
+        return generator.choice(ready) if ready else None
 
     def has_alternatives(self, target):
         evacuated = self.world.evacuations.maybe_evacuated
@@ -47,17 +47,21 @@
                   and other.state == "ready" and other.zone not in evacuated]
         return len(others) > 2
 
+    async def give_address_on(self, target):
+        """Crashes a target, which is replaced elsewhere. Returns the next target at its address, of the other service."""
+        self.world.start_target(target.service, target.zone)
+        target.end()
+        await asyncio.sleep(REUSE_DELAY)
+        other_service = "archive" if target.service == "main" else "main"
+        return self.world.start_target(other_service, target.zone, target.address)
+
     async def leave_at_reused_address(self):
         """A target crashes, and one of the other service gets its address and leaves without draining."""
-        crashed = self.pick_target()
+        crashed = self.pick_target(self.random)
         if crashed is None:
             return
         self.world.promises.counts["addresses given on"] += 1
-        self.world.start_target(crashed.service, crashed.zone)
-        crashed.end()
-        await asyncio.sleep(REUSE_DELAY)
-        other_service = "archive" if crashed.service == "main" else "main"
-        holder = self.world.start_target(other_service, crashed.zone, crashed.address)
+        holder = await self.give_address_on(crashed)
         await asyncio.sleep(self.random.uniform(*SERVING_TIME))
         # Always leaves, as it is one more than its service had in the zone.
         if holder.state == "ready":
@@ -65,7 +69,7 @@
 
     async def delay_heartbeat(self):
         """The first heartbeat of a target that crashed earlier arrives after another one got its address."""
-        holder = self.pick_target()
+        holder = self.pick_target(self.random)
         if holder is None:
             return
         self.world.promises.counts["late heartbeats"] += 1
--- a/tests/platform/soak/target_cuts.py
+++ b/tests/platform/soak/target_cuts.py
@@ -7,10 +7,8 @@
 import asyncio
 import random
 
-from address_reuse import REUSE_DELAY
 from promises import SETTLE_TIME, now
 
-# Shorter and longer than the time after which a reset of the target's flows counts.
 SERVING_TIME = (0.5, 3.0)
 # Shorter and longer than the heartbeat timeout of the system (4 s).
 CUT_TIME = (1.0, 6.0)
@@ -40,14 +38,10 @@
 
     async def cut_at_reused_address(self):
         """A target crashes. The next one at its address is cut off once or twice, serves again, and leaves."""
-        crashed = self.address_reuse.pick_target()
+        crashed = self.address_reuse.pick_target(self.random)
         if crashed is None:
             return
-        self.world.start_target(crashed.service, crashed.zone)
-        crashed.end()
-        await asyncio.sleep(REUSE_DELAY)
-        other_service = "archive" if crashed.service == "main" else "main"
-        holder = self.world.start_target(other_service, crashed.zone, crashed.address)
+        holder = await self.address_reuse.give_address_on(crashed)
         await asyncio.sleep(self.random.uniform(*SERVING_TIME))
         await self.cut(holder, self.random.uniform(*CUT_TIME))
         if self.random.random() < SECOND_CUT_SHARE:
